Serve a request from end to end through separate processes

Cause: the repository was empty; the shape of the code has to be set by a path that runs.

Change: a kernel (loop, clock, events, capabilities, self-registering plug-ins), read-only domain types, the change log with its head row and freshness guard, authorization, a first admission gate and dispatcher, the callers and operators interfaces, settings, stand-ins of the table service and of workers, and a demonstration that starts them as processes.

Before: nothing ran.

--- /dev/null
+++ b/admission/admission_gate.ts
@@ -0,0 +1,30 @@
+/** Admission of requests and tasks: limits, shares and the order of waiting work. */
+import { capability } from '../kernel/capability';
+import type { Priority, Queue } from '../model/fleet';
+
+/** Work that asks to run. */
+export interface AdmissionRequest {
+  readonly requestId: string;
+  /** `null` for work of no team on a queue open to all. */
+  readonly teamId: string | null;
+  readonly queue: Queue;
+  readonly priority: Priority;
+  /** On the local monotonic clock, in milliseconds. */
+  readonly deadlineAtMs: number;
+  /** Aborted when the caller is gone. */
+  readonly signal: AbortSignal;
+}
+
+/** Permission to run one unit of work. */
+export interface Admission {
+  /** Must be called once, when the work has certainly ended. Further calls have no effect. */
+  release(): void;
+}
+
+/** Decides when work may start. */
+export abstract class AdmissionGate {
+  /** Resolves when the work may start. Rejects with `Refusal`, outcome `not_run`. */
+  abstract admit(request: AdmissionRequest): Promise<Admission>;
+}
+
+export const ADMISSION = capability<AdmissionGate>('admission.gate');
--- /dev/null
+++ b/config/change.ts
@@ -0,0 +1,77 @@
+/** Entries of the change log and their effect on the configuration. */
+import type { FleetConfiguration } from '../model/fleet';
+import { OBJECT_KINDS, type ObjectKind } from '../model/ticket';
+
+/** One object's new state; `null` removes it. */
+export interface ObjectChange {
+  readonly kind: ObjectKind;
+  readonly objectId: string;
+  readonly value: unknown;
+}
+
+/** What one revision changes. Internal changes of instance states carry no ticket number. */
+export interface Change {
+  readonly revision: number;
+  readonly ticketNumber: number | null;
+  readonly objects: readonly ObjectChange[];
+}
+
+/** The configuration and, per `kind/id`, the number of the ticket that last set or removed the object. */
+export interface ConfigurationState {
+  readonly fleet: FleetConfiguration;
+  readonly ticketNumbers: ReadonlyMap<string, number>;
+}
+
+/** Row value of `config/<kind>/<id>`; a removed object stays as a tombstone with a `null` value. */
+export interface ObjectRow {
+  readonly ticketNumber: number | null;
+  readonly value: unknown;
+}
+
+export function objectName(kind: ObjectKind, objectId: string): string {
+  return `${kind}/${objectId}`;
+}
+
+export function objectKey(kind: ObjectKind, objectId: string): string {
+  return `config/${objectName(kind, objectId)}`;
+}
+
+export function changeKey(revision: number): string {
+  return `change/${revision}`;
+}
+
+/** Returns the state after `change`. */
+export function applyChange(state: ConfigurationState, change: Change): ConfigurationState {
+  const ticketNumbers = new Map(state.ticketNumbers);
+  const touched = new Map<ObjectKind, Map<string, unknown>>();
+  for (const object of change.objects) {
+    const objects = touched.get(object.kind) ?? new Map<string, unknown>(state.fleet[object.kind]);
+    if (object.value === null) objects.delete(object.objectId);
+    else objects.set(object.objectId, object.value);
+    touched.set(object.kind, objects);
+    if (change.ticketNumber !== null) {
+      ticketNumbers.set(objectName(object.kind, object.objectId), change.ticketNumber);
+    }
+  }
+  const fleet = { ...state.fleet, ...Object.fromEntries(touched), revision: change.revision };
+  return { fleet, ticketNumbers };
+}
+
+/** Builds the state from the rows under `config/`. */
+export function loadState(
+  revision: number,
+  rows: readonly { readonly key: string; readonly value: unknown }[],
+): ConfigurationState {
+  const ticketNumbers = new Map<string, number>();
+  const maps = new Map(OBJECT_KINDS.map((kind) => [kind, new Map<string, unknown>()]));
+  for (const row of rows) {
+    const [, kind, objectId] = row.key.split('/');
+    const objects = maps.get(kind as ObjectKind);
+    if (objects === undefined || kind === undefined || objectId === undefined) continue;
+    const { ticketNumber, value } = row.value as ObjectRow;
+    if (ticketNumber !== null) ticketNumbers.set(objectName(kind as ObjectKind, objectId), ticketNumber);
+    if (value !== null) objects.set(objectId, value);
+  }
+  const fleet = { ...Object.fromEntries(maps), revision } as unknown as FleetConfiguration;
+  return { fleet, ticketNumbers };
+}
--- /dev/null
+++ b/config/config_plugin.ts
@@ -0,0 +1,94 @@
+/** Loads the configuration and keeps it up to date. */
+import type { Timer } from '../kernel/clock';
+import type { Kernel } from '../kernel/kernel';
+import { Plugin } from '../kernel/plugin';
+import { pluginRegistry } from '../kernel/plugin_registry';
+import { TABLE } from '../platform/platform_plugin';
+import { COUNTERS, LOGGER } from '../settings/base_capabilities';
+import { LOG_EVENTS } from '../telemetry/events_catalogue';
+import { ChangeLog } from './change_log';
+import {
+  CONFIGURATION,
+  CONFIGURATION_CHANGED,
+  ConfigurationService,
+  MEMBERSHIP_CHANGED,
+} from './configuration_service';
+import { FenceWaitBarrier } from './effect_barrier';
+import type { Head } from './head';
+
+/** Interval between reads of the head, in milliseconds; five fit into the freshness period. */
+const HEAD_POLL_MS = 400;
+
+/** Delay before the first load is tried again, in milliseconds. */
+const FIRST_LOAD_RETRY_MS = 500;
+
+class ConfigPlugin extends Plugin {
+  override readonly name = 'config';
+  override readonly requires = ['platform'];
+  private kernel: Kernel | null = null;
+  private service: ConfigurationService | null = null;
+  private timer: Timer | null = null;
+  private stopped = false;
+
+  override setUp(kernel: Kernel): void {
+    this.kernel = kernel;
+    this.service = new ConfigurationService({
+      clock: kernel.clock,
+      log: new ChangeLog(kernel.use(TABLE), kernel.clock),
+      barrier: new FenceWaitBarrier(kernel.clock),
+      onLoaded: (previous, current) => {
+        this.publish(kernel, previous, current);
+      },
+    });
+    kernel.provide(CONFIGURATION, this.service);
+  }
+
+  override async start(): Promise<void> {
+    const { kernel, service } = this.parts();
+    while (!(await this.poll(service, kernel))) await kernel.clock.delay(FIRST_LOAD_RETRY_MS);
+    this.scheduleNext(kernel, service);
+  }
+
+  override stop(): Promise<void> {
+    this.stopped = true;
+    this.timer?.cancel();
+    return Promise.resolve();
+  }
+
+  private parts(): { readonly kernel: Kernel; readonly service: ConfigurationService } {
+    if (this.kernel === null || this.service === null) throw new Error('The plug-in is not set up.');
+    return { kernel: this.kernel, service: this.service };
+  }
+
+  private scheduleNext(kernel: Kernel, service: ConfigurationService): void {
+    if (this.stopped) return;
+    this.timer = kernel.clock.schedule(HEAD_POLL_MS, () => {
+      void this.poll(service, kernel).then(() => {
+        this.scheduleNext(kernel, service);
+      });
+    });
+  }
+
+  private async poll(service: ConfigurationService, kernel: Kernel): Promise<boolean> {
+    try {
+      await service.refresh();
+      return true;
+    } catch (error) {
+      kernel.use(COUNTERS).increment('table.read_failed');
+      kernel.use(LOGGER).warn(LOG_EVENTS.tableUnavailable, { reason: String(error) });
+      return false;
+    }
+  }
+
+  private publish(kernel: Kernel, previous: Head, current: Head): void {
+    if (current.revision !== previous.revision) {
+      kernel.use(LOGGER).info(LOG_EVENTS.configurationApplied, { revision: current.revision });
+      kernel.events.publish(CONFIGURATION_CHANGED, { head: current });
+    }
+    if (current.membershipEpoch !== previous.membershipEpoch) {
+      kernel.events.publish(MEMBERSHIP_CHANGED, { head: current });
+    }
+  }
+}
+
+pluginRegistry.add({ name: 'config', create: () => new ConfigPlugin() });
--- /dev/null
+++ b/config/ticket_service.ts
@@ -0,0 +1,134 @@
+/** Applies change tickets. */
+import { isDeepStrictEqual } from 'node:util';
+import type { Clock } from '../kernel/clock';
+import { Refusal } from '../model/refusal';
+import { RESULT_CODES } from '../model/result_code';
+import { ticketSchema, type Ticket } from '../model/ticket';
+import { TableOutcomeUnknownError, type Row, type TableService } from '../platform/table_service';
+import type { ConfigurationService } from './configuration_service';
+import type { Change, ConfigurationState } from './change';
+import { planTicket } from './ticket_plan';
+
+/** Attempts against operators who keep changing the head first. */
+const COMMIT_ATTEMPTS = 8;
+const RETRY_DELAY_MS = 50;
+
+/** What became of a ticket. */
+export interface TicketResult {
+  readonly number: number;
+  readonly status: 'in_effect' | 'already_accepted' | 'dry_run';
+  /** Objects that a higher ticket number has set, as `kind/id`; they were left as they are. */
+  readonly superseded: readonly string[];
+  /** Objects that the ticket sets or removes, as `kind/id`. */
+  readonly changed: readonly string[];
+}
+
+export interface TicketServiceOptions {
+  readonly clock: Clock;
+  readonly configuration: ConfigurationService;
+  readonly table: TableService;
+}
+
+/** Accepts tickets on behalf of operators. */
+export class TicketService {
+  constructor(private readonly options: TicketServiceOptions) {}
+
+  /** Shows what a ticket would change. Throws `Refusal` if the ticket is not valid. */
+  dryRun(ticket: Ticket): TicketResult {
+    const plan = this.plan(this.options.configuration.state(), ticket);
+    return { number: ticket.number, status: 'dry_run', ...describe(plan) };
+  }
+
+  /**
+   * Applies a ticket and resolves once it is in effect on every entry
+   * instance. Applying the same ticket again has no further effect. Throws
+   * `Refusal` if it is not valid or its number was used for other content.
+   */
+  async apply(ticket: Ticket): Promise<TicketResult> {
+    for (let attempt = 1; attempt <= COMMIT_ATTEMPTS; attempt += 1) {
+      const earlier = await this.find(ticket.number);
+      if (earlier) return this.repeat(earlier, ticket);
+      const result = await this.commit(ticket);
+      if (result) return result;
+      await this.options.clock.delay(RETRY_DELAY_MS * attempt);
+    }
+    throw new Refusal(RESULT_CODES.ticketConflict, { outcome: 'not_run', retryAfterS: 1 });
+  }
+
+  /** The ticket of that number as it was accepted. */
+  async get(number: number): Promise<Ticket> {
+    const ticket = await this.find(number);
+    if (ticket) return ticket;
+    throw new Refusal(RESULT_CODES.unknownTicket, { outcome: 'not_run' });
+  }
+
+  /** Accepted tickets by ascending number. */
+  async list(): Promise<readonly Ticket[]> {
+    const rows = await this.options.table.read({ prefixes: ['ticket_number/'] });
+    return rows.map(parseTicket).sort((a, b) => a.number - b.number);
+  }
+
+  private async commit(ticket: Ticket): Promise<TicketResult | null> {
+    const planned: Plan[] = [];
+    const build = (state: ConfigurationState): Change => {
+      const plan = this.plan(state, ticket);
+      planned.push(plan);
+      return plan.change;
+    };
+    const key = ticketKey(ticket.number);
+    try {
+      const outcome = await this.options.configuration.change(build, {
+        conditions: [{ key, version: null }],
+        writes: [{ key, value: ticket }],
+      });
+      const plan = planned.at(-1);
+      if (outcome !== 'committed' || plan === undefined) return null;
+      return { number: ticket.number, status: 'in_effect', ...describe(plan) };
+    } catch (error) {
+      if (!(error instanceof TableOutcomeUnknownError)) throw error;
+      throw new Refusal(RESULT_CODES.ticketOutcomeUnknown, {
+        outcome: 'may_have_run',
+        retryAfterS: 1,
+        cause: error,
+      });
+    }
+  }
+
+  private plan(state: ConfigurationState, ticket: Ticket): Plan {
+    const plan = planTicket(state, ticket);
+    if (plan.kind === 'change') return plan;
+    throw new Refusal(RESULT_CODES.invalidTicket, { outcome: 'not_run', detail: plan.problems.join(' ') });
+  }
+
+  private async find(number: number): Promise<Ticket | null> {
+    const [row] = await this.options.table.read({ keys: [ticketKey(number)] });
+    return row ? parseTicket(row) : null;
+  }
+
+  private repeat(earlier: Ticket, ticket: Ticket): TicketResult {
+    if (!isDeepStrictEqual(earlier, ticket)) {
+      throw new Refusal(RESULT_CODES.ticketNumberReused, { outcome: 'not_run' });
+    }
+    return { number: ticket.number, status: 'already_accepted', superseded: [], changed: [] };
+  }
+}
+
+interface Plan {
+  readonly change: Change;
+  readonly superseded: readonly string[];
+}
+
+function describe(plan: Plan): Pick<TicketResult, 'superseded' | 'changed'> {
+  const changed = plan.change.objects
+    .filter(({ kind }) => kind !== 'instanceStates')
+    .map(({ kind, objectId }) => `${kind}/${objectId}`);
+  return { superseded: plan.superseded, changed };
+}
+
+function ticketKey(number: number): string {
+  return `ticket_number/${number}`;
+}
+
+function parseTicket(row: Row): Ticket {
+  return ticketSchema.parse(row.value);
+}
--- /dev/null
+++ b/entry/entry_plugin.ts
@@ -0,0 +1,108 @@
+/** Serves callers and operators. */
+import { ADMISSION } from '../admission/admission_gate';
+import { CONFIGURATION } from '../config/configuration_service';
+import { TicketService } from '../config/ticket_service';
+import { DISPATCHER } from '../dispatch/dispatcher';
+import type { Kernel } from '../kernel/kernel';
+import { Plugin } from '../kernel/plugin';
+import { pluginRegistry } from '../kernel/plugin_registry';
+import { TABLE } from '../platform/platform_plugin';
+import { COUNTERS, LOGGER, SETTINGS } from '../settings/base_capabilities';
+import { MemoryCounters } from '../telemetry/counters';
+import { LOG_EVENTS } from '../telemetry/events_catalogue';
+import { callerApi } from './caller_api';
+import { HttpServer } from './http_server';
+import { operatorApi } from './operator_api';
+import { Readiness, READINESS } from './readiness';
+import { REQUEST_FLOW, RequestFlow } from './request_flow';
+
+class EntryPlugin extends Plugin {
+  override readonly name = 'entry';
+  override readonly requires = ['config', 'admission', 'dispatch'];
+  private kernel: Kernel | null = null;
+  private servers: readonly HttpServer[] = [];
+  private readonly readiness = new Readiness();
+
+  override setUp(kernel: Kernel): void {
+    this.kernel = kernel;
+    const flow = new RequestFlow({
+      clock: kernel.clock,
+      configuration: kernel.use(CONFIGURATION),
+      admission: kernel.use(ADMISSION),
+      dispatcher: kernel.use(DISPATCHER),
+    });
+    kernel.provide(REQUEST_FLOW, flow);
+    kernel.provide(READINESS, this.readiness);
+  }
+
+  override async start(): Promise<void> {
+    const kernel = this.required();
+    const settings = kernel.use(SETTINGS);
+    const callers = await HttpServer.listen({
+      app: this.callerApp(kernel),
+      host: settings.host,
+      port: settings.callerPort,
+    });
+    const operators = await HttpServer.listen({
+      app: this.operatorApp(kernel),
+      host: settings.host,
+      port: settings.operatorPort,
+    });
+    this.servers = [callers, operators];
+    this.readiness.set(true);
+    kernel.use(LOGGER).info(LOG_EVENTS.started, {
+      memberId: settings.memberId,
+      callerPort: callers.port,
+      operatorPort: operators.port,
+    });
+  }
+
+  override async stop(): Promise<void> {
+    const kernel = this.required();
+    this.readiness.set(false);
+    kernel.use(LOGGER).info(LOG_EVENTS.stopping);
+    // The balancer goes on sending requests until it has seen that the instance is not ready.
+    await kernel.clock.delay(kernel.use(SETTINGS).balancerGraceMs);
+    await kernel.use(REQUEST_FLOW).close();
+    await Promise.all(this.servers.map((server) => server.close()));
+  }
+
+  private required(): Kernel {
+    if (this.kernel === null) throw new Error('The plug-in is not set up.');
+    return this.kernel;
+  }
+
+  private callerApp(kernel: Kernel): ReturnType<typeof callerApi> {
+    return callerApi({
+      flow: kernel.use(REQUEST_FLOW),
+      counters: kernel.use(COUNTERS),
+      logger: kernel.use(LOGGER),
+      maxBodyBytes: kernel.use(SETTINGS).maxBodyBytes,
+    });
+  }
+
+  private operatorApp(kernel: Kernel): ReturnType<typeof operatorApi> {
+    const configuration = kernel.use(CONFIGURATION);
+    return operatorApi({
+      tickets: new TicketService({ clock: kernel.clock, configuration, table: kernel.use(TABLE) }),
+      configuration,
+      readiness: this.readiness,
+      counters: kernel.use(COUNTERS),
+      operatorToken: kernel.use(SETTINGS).operatorToken,
+      status: () => this.status(kernel),
+    });
+  }
+
+  private status(kernel: Kernel): Readonly<Record<string, unknown>> {
+    const configuration = kernel.use(CONFIGURATION);
+    const counters = kernel.use(COUNTERS);
+    return {
+      memberId: kernel.use(SETTINGS).memberId,
+      head: configuration.head(),
+      fresh: configuration.isFresh(),
+      counters: counters instanceof MemoryCounters ? Object.fromEntries(counters.snapshot()) : {},
+    };
+  }
+}
+
+pluginRegistry.add({ name: 'entry', create: () => new EntryPlugin() });
--- /dev/null
+++ b/entry/http_server.ts
@@ -0,0 +1,49 @@
+/** HTTP listener for a hono application. */
+import { createServer, type Server } from 'node:http';
+import { getRequestListener } from '@hono/node-server';
+import type { Hono } from 'hono';
+
+/** Limits against slow and oversized requests. */
+const MAX_HEADER_BYTES = 16 * 1024;
+const HEADERS_TIMEOUT_MS = 10_000;
+const KEEP_ALIVE_TIMEOUT_MS = 5_000;
+
+export interface HttpServerOptions {
+  readonly app: Hono;
+  readonly host: string;
+  /** 0 lets the system choose. */
+  readonly port: number;
+}
+
+export class HttpServer {
+  private constructor(
+    private readonly server: Server,
+    readonly port: number,
+  ) {}
+
+  /** Resolves once the port accepts connections. Rejects if it cannot be opened. */
+  static async listen(options: HttpServerOptions): Promise<HttpServer> {
+    const listener = getRequestListener(options.app.fetch);
+    const server = createServer({ maxHeaderSize: MAX_HEADER_BYTES }, (request, response) => {
+      void listener(request, response);
+    });
+    server.headersTimeout = HEADERS_TIMEOUT_MS;
+    server.keepAliveTimeout = KEEP_ALIVE_TIMEOUT_MS;
+    await new Promise<void>((resolve, reject) => {
+      server.once('error', reject);
+      server.listen(options.port, options.host, resolve);
+    });
+    const address = server.address();
+    return new HttpServer(server, typeof address === 'object' && address ? address.port : options.port);
+  }
+
+  /** Stops accepting connections and resolves once the open ones have ended. */
+  close(): Promise<void> {
+    return new Promise((resolve) => {
+      this.server.close(() => {
+        resolve();
+      });
+      this.server.closeIdleConnections();
+    });
+  }
+}
--- /dev/null
+++ b/entry/operator_api.ts
@@ -0,0 +1,93 @@
+/** The HTTP interface for operators, with health endpoints. */
+import { createHash, timingSafeEqual } from 'node:crypto';
+import { Hono } from 'hono';
+import type { ConfigurationService } from '../config/configuration_service';
+import type { TicketService } from '../config/ticket_service';
+import { Refusal } from '../model/refusal';
+import { RESULT_CODES } from '../model/result_code';
+import { ticketSchema, type Ticket } from '../model/ticket';
+import { TableUnavailableError } from '../platform/table_service';
+import type { Counters } from '../telemetry/counters';
+import { problemResponse, toRefusal } from './problem';
+import type { Readiness } from './readiness';
+
+export interface OperatorApiOptions {
+  readonly tickets: TicketService;
+  readonly configuration: ConfigurationService;
+  readonly readiness: Readiness;
+  readonly counters: Counters;
+  readonly operatorToken: string;
+  /** Builds the answer to `GET /v1/status`. */
+  readonly status: () => Readonly<Record<string, unknown>>;
+}
+
+/** Routes of the operators API. */
+export function operatorApi(options: OperatorApiOptions): Hono {
+  const app = new Hono();
+  const { tickets, configuration, readiness } = options;
+  app.get('/live', (context) => context.json({ live: true }));
+  app.get('/ready', (context) => {
+    const ready = readiness.isReady() && configuration.isFresh();
+    return context.json({ ready }, ready ? 200 : 503);
+  });
+  app.use('/v1/*', async (context, next) => {
+    if (!isOperator(context.req.header('authorization'), options.operatorToken)) {
+      throw new Refusal(RESULT_CODES.notOperator, { outcome: 'not_run' });
+    }
+    await next();
+  });
+  app.post('/v1/tickets', async (context) => {
+    const ticket = parseTicket(await context.req.text());
+    const dryRun = context.req.query('dryRun') === 'true';
+    return context.json(dryRun ? tickets.dryRun(ticket) : await tickets.apply(ticket));
+  });
+  app.get('/v1/tickets', async (context) => context.json({ tickets: await tickets.list() }));
+  app.get('/v1/tickets/:number', async (context) =>
+    context.json(await tickets.get(Number(context.req.param('number')))),
+  );
+  app.get('/v1/status', (context) => context.json(options.status()));
+  for (const kind of ['teams', 'pools', 'queues', 'waves'] as const) {
+    app.get(`/v1/${kind}`, (context) => context.json({ [kind]: [...configuration.fleet()[kind].values()] }));
+  }
+  app.get('/v1/instances', (context) => {
+    const { instances, instanceStates } = configuration.fleet();
+    const list = [...instances.values()].map((instance) => ({
+      ...instance,
+      current: instanceStates.get(instance.instanceId) ?? null,
+    }));
+    return context.json({ instances: list });
+  });
+  app.onError((error) => {
+    const known =
+      error instanceof TableUnavailableError
+        ? new Refusal(RESULT_CODES.platformUnavailable, { outcome: 'not_run', retryAfterS: 1, cause: error })
+        : toRefusal(error);
+    options.counters.increment('operators.refused', known.result.name);
+    return problemResponse(known);
+  });
+  return app;
+}
+
+function parseTicket(text: string): Ticket {
+  const parsed = ticketSchema.safeParse(parseJson(text));
+  if (parsed.success) return parsed.data;
+  const detail = parsed.error.issues.map(({ path, message }) => `${path.join('.')}: ${message}`).join('; ');
+  throw new Refusal(RESULT_CODES.invalidTicket, { outcome: 'not_run', detail });
+}
+
+function parseJson(text: string): unknown {
+  try {
+    return JSON.parse(text);
+  } catch (error) {
+    throw new Refusal(RESULT_CODES.invalidTicket, {
+      outcome: 'not_run',
+      detail: 'The ticket is not valid JSON.',
+      cause: error,
+    });
+  }
+}
+
+function isOperator(header: string | undefined, token: string): boolean {
+  const digest = (value: string): Buffer => createHash('sha256').update(value).digest();
+  return timingSafeEqual(digest(header ?? ''), digest(`Bearer ${token}`));
+}
--- /dev/null
+++ b/entry/request_body.ts
@@ -0,0 +1,38 @@
+/** Bounded reading of request bodies. */
+import { Refusal } from '../model/refusal';
+import { RESULT_CODES } from '../model/result_code';
+
+export interface ReadBodyOptions {
+  readonly maxBytes: number;
+  /** Time for the whole body to arrive, in milliseconds. */
+  readonly timeoutMs: number;
+}
+
+/** Reads a whole body. Rejects with `Refusal`, outcome `not_run`, if it is too large or too slow. */
+export async function readBody(
+  body: ReadableStream<Uint8Array> | null,
+  options: ReadBodyOptions,
+): Promise<Buffer> {
+  if (body === null) return Buffer.alloc(0);
+  const reader = body.getReader();
+  const chunks: Uint8Array[] = [];
+  let timedOut = false;
+  let lengthBytes = 0;
+  const timer = setTimeout(() => {
+    timedOut = true;
+    void reader.cancel();
+  }, options.timeoutMs);
+  try {
+    for (let part = await reader.read(); !part.done; part = await reader.read()) {
+      lengthBytes += part.value.byteLength;
+      if (lengthBytes > options.maxBytes)
+        throw new Refusal(RESULT_CODES.bodyTooLarge, { outcome: 'not_run' });
+      chunks.push(part.value);
+    }
+  } finally {
+    clearTimeout(timer);
+  }
+  // `timedOut` is set by the timer while the loop waits.
+  if (timedOut as boolean) throw new Refusal(RESULT_CODES.bodyTimeout, { outcome: 'not_run' });
+  return Buffer.concat(chunks);
+}
--- /dev/null
+++ b/eslint.config.mjs
@@ -0,0 +1,21 @@
+import eslint from '@eslint/js';
+import tseslint from 'typescript-eslint';
+
+export default tseslint.config(
+  { ignores: ['dist/', 'node_modules/', 'coverage/'] },
+  eslint.configs.recommended,
+  ...tseslint.configs.strictTypeChecked,
+  ...tseslint.configs.stylisticTypeChecked,
+  {
+    languageOptions: {
+      parserOptions: { projectService: true, tsconfigRootDir: import.meta.dirname },
+    },
+    rules: {
+      '@typescript-eslint/restrict-template-expressions': ['error', { allowNumber: true }],
+      '@typescript-eslint/switch-exhaustiveness-check': 'error',
+      '@typescript-eslint/prefer-readonly': 'error',
+      '@typescript-eslint/no-unnecessary-type-parameters': 'off',
+    },
+  },
+  { files: ['**/*.mjs', '**/*.js'], ...tseslint.configs.disableTypeChecked },
+);
--- /dev/null
+++ b/kernel/system_clock.ts
@@ -0,0 +1,22 @@
+/** Clock of the running process. */
+import { Clock, type Timer } from './clock';
+
+/** Reads the operating system's monotonic and wall clocks. */
+export class SystemClock extends Clock {
+  override monotonicMs(): number {
+    return performance.now();
+  }
+
+  override wallMs(): number {
+    return Date.now();
+  }
+
+  override schedule(delayMs: number, task: () => void): Timer {
+    const handle = setTimeout(task, delayMs);
+    return {
+      cancel: () => {
+        clearTimeout(handle);
+      },
+    };
+  }
+}
--- /dev/null
+++ b/standins/table_main.ts
@@ -0,0 +1,16 @@
+/** Process of the table service stand-in. Prints its port as one line of JSON. */
+import { parseArgs } from 'node:util';
+import { HttpServer } from '../entry/http_server';
+import { SystemClock } from '../kernel/system_clock';
+import { TableStore } from '../platform/table_store';
+import { tableApp } from './table_app';
+
+const { values } = parseArgs({ options: { port: { type: 'string', default: '0' } } });
+
+void HttpServer.listen({
+  app: tableApp(new TableStore(), new SystemClock()),
+  host: '127.0.0.1',
+  port: Number(values.port),
+}).then(({ port }) => {
+  process.stdout.write(`${JSON.stringify({ port })}\n`);
+});
--- /dev/null
+++ b/standins/worker_main.ts
@@ -0,0 +1,23 @@
+/** Process of a target stand-in. Prints its port as one line of JSON. */
+import { parseArgs } from 'node:util';
+import { HttpServer } from '../entry/http_server';
+import { SystemClock } from '../kernel/system_clock';
+import { workerApp } from './worker_app';
+
+const { values } = parseArgs({
+  options: {
+    port: { type: 'string', default: '0' },
+    'instance-id': { type: 'string', default: 'worker-1' },
+    'service-ms': { type: 'string', default: '5' },
+  },
+});
+
+const app = workerApp({
+  clock: new SystemClock(),
+  instanceId: values['instance-id'],
+  serviceMs: Number(values['service-ms']),
+});
+
+void HttpServer.listen({ app, host: '127.0.0.1', port: Number(values.port) }).then(({ port }) => {
+  process.stdout.write(`${JSON.stringify({ port })}\n`);
+});
