Set the interfaces between membership, peers, roles and the platform

Cause: the parts that follow are built side by side and need fixed interfaces between them.

Conclusion: each part can be replaced behind its abstract class.

--- a/entry/entry_plugin.ts
+++ b/entry/entry_plugin.ts
@@ -18,7 +18,7 @@
 
 class EntryPlugin extends Plugin {
   override readonly name = 'entry';
-  override readonly requires = ['config', 'admission', 'dispatch'];
+  override readonly requires = ['config', 'membership', 'peers', 'admission', 'dispatch'];
   private kernel: Kernel | null = null;
   private servers: readonly HttpServer[] = [];
   private readonly readiness = new Readiness();
--- a/entry/wiring.ts
+++ b/entry/wiring.ts
@@ -1,6 +1,8 @@
 /** Wires the parts of an entry instance. Plug-ins register themselves when they are imported here. */
 import '../platform/platform_plugin';
 import '../config/config_plugin';
+import '../membership/membership_plugin';
+import '../peers/peers_plugin';
 import '../admission/admission_plugin';
 import '../dispatch/dispatch_plugin';
 import './entry_plugin';
--- /dev/null
+++ b/roles/role_lease.ts
@@ -0,0 +1,93 @@
+/** Roles that one entry instance holds at a time, with a fencing epoch. */
+import { randomUUID } from 'node:crypto';
+import { z } from 'zod';
+import type { Membership } from '../membership/membership';
+import {
+  TableOutcomeUnknownError,
+  type Condition,
+  type Row,
+  type TableService,
+} from '../platform/table_service';
+
+const roleRowSchema = z.object({
+  memberId: z.string(),
+  incarnation: z.string(),
+  epoch: z.int(),
+  acquisitionId: z.string(),
+});
+
+/** A role that this entry instance holds. */
+export interface HeldRole {
+  readonly name: string;
+  /** Rises with every change of holder. */
+  readonly epoch: number;
+  /** Must be part of every transaction that the holder writes. */
+  readonly condition: Condition;
+}
+
+/**
+ * Acquires and releases roles. A role passes to another entry instance only
+ * after its holder released it or is no longer live; writes of an earlier
+ * holder fail on the condition of {@link HeldRole}.
+ *
+ * @example
+ * ```ts
+ * const role = await roles.acquire('maintenance/billing');
+ * if (role) await table.transact({ conditions: [role.condition, ...], writes });
+ * ```
+ */
+export class RoleLeases {
+  constructor(
+    private readonly table: TableService,
+    private readonly membership: Membership,
+  ) {}
+
+  /**
+   * Returns the role if this entry instance holds it now, `null` if another
+   * live one does. Throws `TableUnavailableError`, or
+   * `TableOutcomeUnknownError` if the role may have been acquired: a later
+   * call finds out.
+   */
+  async acquire(name: string): Promise<HeldRole | null> {
+    const self = this.membership.self();
+    if (self === null) return null;
+    const key = roleKey(name);
+    const [row] = await this.table.read({ keys: [key] });
+    const current = row ? roleRowSchema.parse(row.value) : null;
+    if (row && current?.incarnation === self.incarnation) return heldRole(name, row);
+    if (current && this.membership.standing(current.memberId, current.incarnation) === 'live') return null;
+    const value = {
+      memberId: self.memberId,
+      incarnation: self.incarnation,
+      epoch: (current?.epoch ?? 0) + 1,
+      acquisitionId: randomUUID(),
+    };
+    const result = await this.table.transact({
+      conditions: [{ key, version: row?.version ?? null }],
+      writes: [{ key, value }],
+    });
+    const version = result.kind === 'committed' ? result.versions.get(key) : undefined;
+    return version === undefined ? null : { name, epoch: value.epoch, condition: { key, version } };
+  }
+
+  /** Gives a role up; best effort, since others take it over once this incarnation has ended. */
+  async release(role: HeldRole): Promise<void> {
+    const [row] = await this.table.read({ keys: [role.condition.key] });
+    if (row?.version !== role.condition.version) return;
+    const value = { ...roleRowSchema.parse(row.value), memberId: '', incarnation: '' };
+    try {
+      await this.table.transact({ conditions: [role.condition], writes: [{ key: row.key, value }] });
+    } catch (error) {
+      if (!(error instanceof TableOutcomeUnknownError)) throw error;
+    }
+  }
+}
+
+function roleKey(name: string): string {
+  return `role/${name}`;
+}
+
+function heldRole(name: string, row: Row): HeldRole {
+  const { epoch } = roleRowSchema.parse(row.value);
+  return { name, epoch, condition: { key: row.key, version: row.version } };
+}
