--- a/admission/authorize.ts
+++ b/admission/authorize.ts
@@ -1,8 +1,8 @@
 /** Decides whose request it is and whether it may use the queue. */
-import { createHash, timingSafeEqual } from 'node:crypto';
-import type { FleetConfiguration, Queue, TeamKey } from '../model/fleet';
+import type { FleetConfiguration, Queue } from '../model/fleet';
 import { Refusal } from '../model/refusal';
 import { RESULT_CODES } from '../model/result_code';
+import { keyIndexOf } from './key_index';
 
 /** The queue and the team for which the request runs; `null` on a queue open to all, without a key. */
 export interface Authorization {
@@ -10,11 +10,6 @@
   readonly teamId: string | null;
 }
 
-/** SHA-256 of a key in lower-case hexadecimal, as kept in the configuration. */
-export function hashKey(key: string): string {
-  return createHash('sha256').update(key, 'utf8').digest('hex');
-}
-
 /**
  * Checks a key against the configuration. Throws `Refusal`, outcome `not_run`.
  *
@@ -30,23 +25,13 @@
     if (queue.openToAll) return { queue, teamId: null };
     throw refuse('missingKey');
   }
-  const teamKey = findKey(fleet, key);
+  const teamKey = keyIndexOf(fleet.keys).find(key);
   if (teamKey === undefined) throw refuse('unknownKey');
   const allowed = queue.openToAll || queue.teamIds.length === 0 || queue.teamIds.includes(teamKey.teamId);
   if (!allowed) throw refuse('queueNotAllowed');
   return { queue, teamId: teamKey.teamId };
 }
 
-/** Compares against every key, each in constant time, so that timing does not tell which one came close. */
-function findKey(fleet: FleetConfiguration, key: string): TeamKey | undefined {
-  const presented = Buffer.from(hashKey(key), 'hex');
-  let found: TeamKey | undefined;
-  for (const teamKey of fleet.keys.values()) {
-    if (timingSafeEqual(Buffer.from(teamKey.keyHashHex, 'hex'), presented)) found = teamKey;
-  }
-  return found;
-}
-
 function refuse(name: 'unknownQueue' | 'missingKey' | 'unknownKey' | 'queueNotAllowed'): Refusal {
   return new Refusal(RESULT_CODES[name], { outcome: 'not_run' });
 }
--- a/demo/demo_main.ts
+++ b/demo/demo_main.ts
@@ -1,5 +1,5 @@
 /** Demonstration: a whole deployment serves requests and applies a ticket, then stops gracefully. */
-import { hashKey } from '../admission/authorize';
+import { hashKey } from '../admission/key_index';
 import { Deployment, sendJson } from './deployment';
 
 const TEAM_KEY = 'demo-key-of-desk-one';
