Measure the way through an entry instance

Cause: nothing said what an entry instance adds to a request or spends on control.

The status of an entry instance shows its usage; the table stand-in counts bytes on the wire.

--- /dev/null
+++ b/demo/demo_ticket.ts
@@ -0,0 +1,35 @@
+/** The first ticket of demonstrations and measurements. */
+import { hashKey } from '../admission/key_index';
+import type { Deployment } from './deployment';
+
+export const DEMO_KEY = 'demo-key-of-desk-one';
+
+export interface DemoTicketOptions {
+  readonly upperLimit: number;
+  readonly slots: number;
+}
+
+/** One team, one pool with every worker of the deployment, one urgent queue. */
+export function demoTicket(
+  deployment: Deployment,
+  options: DemoTicketOptions,
+): Readonly<Record<string, unknown>> {
+  return {
+    number: 1,
+    set: {
+      teams: [{ teamId: 'desk-one', shareWeight: 1, upperLimit: options.upperLimit }],
+      keys: [{ keyId: 'desk-one-1', teamId: 'desk-one', keyHashHex: hashKey(DEMO_KEY) }],
+      pools: [{ poolId: 'quotes', maxUnavailable: 1 }],
+      queues: [{ queueId: 'quote', poolId: 'quotes', priority: 'urgent' }],
+      instances: deployment.workers.map((worker, index) => ({
+        instanceId: `worker-${index + 1}`,
+        poolId: 'quotes',
+        host: '127.0.0.1',
+        port: worker.port('port'),
+        availabilityZone: `zone-${(index % 3) + 1}`,
+        rack: `rack-${(index % 3) + 1}`,
+        slots: options.slots,
+      })),
+    },
+  };
+}
--- a/entry/entry_plugin.ts
+++ b/entry/entry_plugin.ts
@@ -13,6 +13,7 @@
 import { callerApi } from './caller_api';
 import { HttpServer } from './http_server';
 import { operatorApi } from './operator_api';
+import { processUsage } from './process_usage';
 import { Readiness, READINESS } from './readiness';
 import { REQUEST_FLOW, RequestFlow } from './request_flow';
 
@@ -100,6 +101,7 @@
       memberId: kernel.use(SETTINGS).memberId,
       head: configuration.head(),
       fresh: configuration.isFresh(),
+      process: processUsage(),
       counters: counters instanceof MemoryCounters ? Object.fromEntries(counters.snapshot()) : {},
     };
   }
--- a/entry/http_server.ts
+++ b/entry/http_server.ts
@@ -1,5 +1,6 @@
 /** HTTP listener for a hono application. */
 import { createServer, type Server } from 'node:http';
+import type { Socket } from 'node:net';
 import { getRequestListener } from '@hono/node-server';
 import type { Hono } from 'hono';
 
@@ -15,11 +16,28 @@
   readonly port: number;
 }
 
+/** Bytes on the wire, headers included. */
+export interface TrafficBytes {
+  readonly received: number;
+  readonly sent: number;
+}
+
 export class HttpServer {
+  private readonly sockets = new Set<Socket>();
+  private closedTraffic: TrafficBytes = { received: 0, sent: 0 };
+
   private constructor(
     private readonly server: Server,
     readonly port: number,
-  ) {}
+  ) {
+    server.on('connection', (socket: Socket) => {
+      this.sockets.add(socket);
+      socket.once('close', () => {
+        this.sockets.delete(socket);
+        this.closedTraffic = addTraffic(this.closedTraffic, socket);
+      });
+    });
+  }
 
   /** Resolves once the port accepts connections. Rejects if it cannot be opened. */
   static async listen(options: HttpServerOptions): Promise<HttpServer> {
@@ -37,6 +55,11 @@
     return new HttpServer(server, typeof address === 'object' && address ? address.port : options.port);
   }
 
+  /** Bytes exchanged with all clients since the start. */
+  traffic(): TrafficBytes {
+    return [...this.sockets].reduce(addTraffic, this.closedTraffic);
+  }
+
   /** Stops accepting connections and resolves once the open ones have ended. */
   close(): Promise<void> {
     return new Promise((resolve) => {
@@ -47,3 +70,7 @@
     });
   }
 }
+
+function addTraffic(total: TrafficBytes, socket: Socket): TrafficBytes {
+  return { received: total.received + socket.bytesRead, sent: total.sent + socket.bytesWritten };
+}
--- a/standins/table_app.ts
+++ b/standins/table_app.ts
@@ -1,6 +1,7 @@
 /** Stand-in for the platform's table service over HTTP, with injected faults. */
 import { Hono } from 'hono';
 import { z } from 'zod';
+import type { TrafficBytes } from '../entry/http_server';
 import type { Clock } from '../kernel/clock';
 import type { TableStore } from '../platform/table_store';
 
@@ -22,8 +23,16 @@
 
 type Faults = Readonly<z.infer<typeof faultsSchema>>;
 
+export interface TableAppOptions {
+  readonly store: TableStore;
+  readonly clock: Clock;
+  /** Bytes exchanged with all clients, for `GET /stats`. */
+  readonly traffic: () => TrafficBytes;
+}
+
 /** Routes of the stand-in; `POST /faults` sets what goes wrong with the next calls. */
-export function tableApp(store: TableStore, clock: Clock): Hono {
+export function tableApp(options: TableAppOptions): Hono {
+  const { store, clock, traffic } = options;
   const app = new Hono();
   let faults: Faults = faultsSchema.parse({});
   let reads = 0;
@@ -32,7 +41,7 @@
     faults = faultsSchema.parse(await context.req.json());
     return context.json(faults);
   });
-  app.get('/stats', (context) => context.json({ reads, transactions }));
+  app.get('/stats', (context) => context.json({ reads, transactions, traffic: traffic() }));
   app.use('/v1/*', async (context, next) => {
     if (faults.down) return context.json({ error: 'down' }, 503);
     if (faults.requestDelayMs > 0) await clock.delay(faults.requestDelayMs);
--- a/standins/table_main.ts
+++ b/standins/table_main.ts
@@ -7,10 +7,14 @@
 
 const { values } = parseArgs({ options: { port: { type: 'string', default: '0' } } });
 
-void HttpServer.listen({
-  app: tableApp(new TableStore(), new SystemClock()),
-  host: '127.0.0.1',
-  port: Number(values.port),
-}).then(({ port }) => {
-  process.stdout.write(`${JSON.stringify({ port })}\n`);
+let server: HttpServer | null = null;
+const app = tableApp({
+  store: new TableStore(),
+  clock: new SystemClock(),
+  traffic: () => server?.traffic() ?? { received: 0, sent: 0 },
+});
+
+void HttpServer.listen({ app, host: '127.0.0.1', port: Number(values.port) }).then((listening) => {
+  server = listening;
+  process.stdout.write(`${JSON.stringify({ port: listening.port })}\n`);
 });
