--- a/demo/deployment.ts
+++ b/demo/deployment.ts
@@ -3,7 +3,8 @@
 import { request } from 'undici';
 import { ManagedProcess } from './child_process';
 
-const ROOT = join(__dirname, '..');
+/** Processes run compiled scripts, also when a test loads this module from its source. */
+const ROOT = __filename.endsWith('.ts') ? join(__dirname, '..', 'dist') : join(__dirname, '..');
 export const OPERATOR_TOKEN = 'operator-token-of-the-demo';
 
 export interface DeploymentOptions {
