--- a/bench/_configuration_slopes.ts
+++ b/bench/_configuration_slopes.ts
@@ -1,6 +1,6 @@
 /** Growth of the configuration's costs. */
 import { keyIndexOf } from '../admission/key_index';
-import { applyChange, loadState } from '../config/change';
+import { applyChange, applyChanges, loadState } from '../config/change';
 import { instanceRows, teamRows } from './_fleet';
 import { retainedBytes } from './_heap';
 import { medianUs, Slope } from './_slope';
@@ -69,6 +69,27 @@
   }
 }
 
+class ApplyBatchTime extends Slope {
+  override readonly name = 'apply eight changes of 100 instance states each';
+  override readonly per = 'instance';
+  override readonly unit = 'us';
+  override readonly sizes = INSTANCE_COUNTS;
+  override measure(size: number): number {
+    const state = loadState(1, instanceRows(size));
+    const changes = Array.from({ length: 8 }, (_, change) => ({
+      revision: 2 + change,
+      ticketNumber: null,
+      objects: Array.from({ length: 100 }, (_, index) => {
+        const objectId = `worker-${change * 100 + index}`;
+        return { kind: 'instanceStates' as const, objectId, value: state.fleet.instanceStates.get(objectId) };
+      }),
+    }));
+    return medianUs(31, () => {
+      applyChanges(state, changes);
+    });
+  }
+}
+
 class AuthorizeTime extends Slope {
   override readonly name = 'find the team of a key';
   override readonly per = 'team';
@@ -89,5 +110,6 @@
   new InstanceTableBytes(),
   new LoadTime(),
   new ApplyTime(),
+  new ApplyBatchTime(),
   new AuthorizeTime(),
 ];
--- a/config/change.ts
+++ b/config/change.ts
@@ -42,19 +42,34 @@
 
 /** Returns the state after `change`. */
 export function applyChange(state: ConfigurationState, change: Change): ConfigurationState {
-  const ticketNumbers = new Map(state.ticketNumbers);
+  return applyChanges(state, [change]);
+}
+
+/** Returns the state after `changes`, in order. Each map is copied once, however many changes touch it. */
+export function applyChanges(state: ConfigurationState, changes: readonly Change[]): ConfigurationState {
+  const last = changes.at(-1);
+  if (last === undefined) return state;
   const touched = new Map<ObjectKind, Map<string, unknown>>();
-  for (const object of change.objects) {
-    const objects = touched.get(object.kind) ?? new Map<string, unknown>(state.fleet[object.kind]);
-    if (object.value === null) objects.delete(object.objectId);
-    else objects.set(object.objectId, object.value);
-    touched.set(object.kind, objects);
-    if (change.ticketNumber !== null) {
-      ticketNumbers.set(objectName(object.kind, object.objectId), change.ticketNumber);
+  const setNumbers: (readonly [string, number])[] = [];
+  for (const { ticketNumber, objects } of changes) {
+    for (const { kind, objectId, value } of objects) {
+      const copy = touched.get(kind) ?? new Map<string, unknown>(state.fleet[kind]);
+      if (value === null) copy.delete(objectId);
+      else copy.set(objectId, value);
+      touched.set(kind, copy);
+      if (ticketNumber !== null) setNumbers.push([objectName(kind, objectId), ticketNumber]);
     }
   }
-  const fleet = { ...state.fleet, ...Object.fromEntries(touched), revision: change.revision };
-  return { fleet, ticketNumbers };
+  const fleet = { ...state.fleet, ...Object.fromEntries(touched), revision: last.revision };
+  return { fleet, ticketNumbers: withNumbers(state.ticketNumbers, setNumbers) };
+}
+
+/** Changes of instance states carry no ticket number and leave the map as it is. */
+function withNumbers(
+  numbers: ReadonlyMap<string, number>,
+  additions: readonly (readonly [string, number])[],
+): ReadonlyMap<string, number> {
+  return additions.length === 0 ? numbers : new Map([...numbers, ...additions]);
 }
 
 /** Builds the state from the rows under `config/`. */
--- a/config/change_log.ts
+++ b/config/change_log.ts
@@ -11,7 +11,7 @@
   type Write,
 } from '../platform/table_service';
 import {
-  applyChange,
+  applyChanges,
   changeKey,
   loadState,
   objectKey,
@@ -86,7 +86,7 @@
     const rows = await this.table.read({ keys: [HEAD_KEY, ...changeKeys] });
     const { head, headVersion } = findHead(rows);
     if (head.revision < from || head.revision > from + CHANGES_PER_READ) return this.load();
-    const state = parseChanges(rows).reduce(applyChange, known.state);
+    const state = applyChanges(known.state, parseChanges(rows));
     return { head, headVersion, state, asOfMs };
   }
 
