Make soak runs replace the fixed seeds

Cause: the soak run set fc.assert on a module object whose members are getters, so properties kept their fixed seeds.

Change: soak runs map fast-check to a module whose assert takes the seed from the environment.

--- a/soak/soak_main.ts
+++ b/soak/soak_main.ts
@@ -22,15 +22,7 @@
 function runTests(seed: number): Promise<Run> {
   const child = spawn(
     process.execPath,
-    [
-      'node_modules/jest/bin/jest.js',
-      '--setupFiles',
-      './soak/_soak_setup.js',
-      '--silent',
-      '--testPathIgnorePatterns',
-      'demo/',
-      'dist/',
-    ],
+    ['node_modules/jest/bin/jest.js', '--config', 'soak/jest.config.mjs', '--silent'],
     { env: { ...process.env, ENDIVESTAND_SOAK_SEED: String(seed) }, stdio: ['ignore', 'pipe', 'pipe'] },
   );
   const output: string[] = [];
