Add jobs, their callers' API and the control of tasks on workers

Cause: callers could not submit batch work, and nothing could run it on workers.

Change: jobs/job.ts holds the model; jobs/job_store.ts writes job rows conditionally, with an index of the open jobs per pool, and reads lost answers back; jobs/job_service.ts decides about submit, read and cancel, and entry/job_routes.ts encodes it for HTTP. platform/worker_control.ts is the control of tasks, with an HTTP adapter and an in-memory fake over the same platform/task_host.ts that the worker stand-in mounts through standins/task_app.ts. Commands to a worker belong to a session that expires with the task lease and ends when another is opened: a start that a paused process sends late is refused even by a worker that has not yet heard of the newer epoch. Instances have processors, memoryBytes and accelerators.

--- a/entry/caller_api.ts
+++ b/entry/caller_api.ts
@@ -8,6 +8,7 @@
 import type { Counters } from '../telemetry/counters';
 import { LOG_EVENTS } from '../telemetry/events_catalogue';
 import type { Logger } from '../telemetry/logger';
+import type { CallerRoutes } from './caller_routes';
 import { problemResponse, toRefusal } from './problem';
 import { readBody } from './request_body';
 import type { CallerRequest, RequestFlow } from './request_flow';
@@ -48,6 +49,8 @@
   readonly counters: Counters;
   readonly logger: Logger;
   readonly maxBodyBytes: number;
+  /** Routes of other parts, for example jobs. */
+  readonly furtherRoutes?: readonly CallerRoutes[];
 }
 
 /** Routes of the callers API. */
@@ -59,6 +62,7 @@
     options.counters.increment('requests.answered');
     return toResponse(answer.status, answer.headers, answer.body);
   });
+  for (const routes of options.furtherRoutes ?? []) routes.addTo(app);
   app.onError((error) => {
     const refusal = toRefusal(error);
     options.counters.increment('requests.refused', refusal.result.name);
--- a/entry/entry_plugin.ts
+++ b/entry/entry_plugin.ts
@@ -3,6 +3,7 @@
 import { CONFIGURATION } from '../config/configuration_service';
 import { TicketService } from '../config/ticket_service';
 import { DISPATCHER } from '../dispatch/dispatcher';
+import { JOB_SERVICE } from '../jobs/job_service';
 import type { Kernel } from '../kernel/kernel';
 import { Plugin } from '../kernel/plugin';
 import { pluginRegistry } from '../kernel/plugin_registry';
@@ -12,13 +13,14 @@
 import { LOG_EVENTS } from '../telemetry/events_catalogue';
 import { callerApi } from './caller_api';
 import { HttpServer } from './http_server';
+import { JobRoutes } from './job_routes';
 import { operatorApi } from './operator_api';
 import { Readiness, READINESS } from './readiness';
 import { REQUEST_FLOW, RequestFlow } from './request_flow';
 
 class EntryPlugin extends Plugin {
   override readonly name = 'entry';
-  override readonly requires = ['config', 'membership', 'peers', 'admission', 'dispatch'];
+  override readonly requires = ['config', 'membership', 'peers', 'admission', 'dispatch', 'jobs'];
   private kernel: Kernel | null = null;
   private servers: readonly HttpServer[] = [];
   private readonly readiness = new Readiness();
@@ -78,6 +80,7 @@
       counters: kernel.use(COUNTERS),
       logger: kernel.use(LOGGER),
       maxBodyBytes: kernel.use(SETTINGS).maxBodyBytes,
+      furtherRoutes: [new JobRoutes(kernel.use(JOB_SERVICE))],
     });
   }
 
--- a/entry/wiring.ts
+++ b/entry/wiring.ts
@@ -5,6 +5,7 @@
 import '../peers/peers_plugin';
 import '../admission/admission_plugin';
 import '../dispatch/dispatch_plugin';
+import '../jobs/jobs_plugin';
 import './entry_plugin';
 import type { Clock } from '../kernel/clock';
 import { Kernel } from '../kernel/kernel';
--- /dev/null
+++ b/jobs/job.ts
@@ -0,0 +1,91 @@
+/** Jobs as callers submit them and as the table keeps them. */
+import { z } from 'zod';
+import type { Resources } from '../model/resources';
+
+/** Longest payload of a job, in characters; larger inputs belong into a store of the team. */
+export const MAX_PAYLOAD_CHARACTERS = 16_384;
+
+const MAX_RUN_TIME_MS = 30 * 24 * 3_600_000;
+const count = z.int().min(0);
+
+/** What a caller declares about a job. Declared sizes and run times may be far off. */
+export const jobRequestSchema = z.strictObject({
+  queueId: z.string().min(1),
+  priority: z.enum(['urgent', 'normal', 'batch']).optional(),
+  processors: z.number().positive().max(4096),
+  memoryBytes: z
+    .int()
+    .min(1)
+    .max(2 ** 50),
+  accelerators: z.int().min(0).max(1024).default(0),
+  runTimeMs: z.int().min(1).max(MAX_RUN_TIME_MS),
+  /** Handed to the worker unread. */
+  payload: z.string().max(MAX_PAYLOAD_CHARACTERS).default(''),
+});
+
+export const JOB_STATES = [
+  'waiting',
+  'placed',
+  'running',
+  'checkpointed',
+  'done',
+  'failed',
+  'cancelled',
+  'cannot_run',
+] as const;
+
+/** Row value of `job/<jobId>`. */
+export const jobSchema = z.object({
+  jobId: z.string(),
+  teamId: z.string(),
+  queueId: z.string(),
+  poolId: z.string(),
+  processors: z.number(),
+  memoryBytes: z.number(),
+  accelerators: z.number(),
+  runTimeMs: z.number(),
+  priority: z.enum(['urgent', 'normal', 'batch']),
+  payload: z.string(),
+  /** SHA-256 of the request, to tell a repeated submit from another one with the same key. */
+  fingerprint: z.string(),
+  /** Order of submission within the pool, as far as the entry instances' wall clocks agree. */
+  submittedAtMs: z.number(),
+  state: z.enum(JOB_STATES),
+  /** Number of times the job was placed. */
+  attempt: count,
+  /** Epoch of the holder that placed it last. */
+  epoch: count,
+  /** Where it was placed last. */
+  instanceId: z.string().nullable(),
+  checkpoint: z.string().nullable(),
+  cancelRequested: z.boolean(),
+  /** Attempts that failed on a worker, and where. */
+  failures: count,
+  failedOn: z.array(z.string()).readonly(),
+  /** Attempts that ended with their worker or their lease. */
+  losses: count,
+  /** Why it failed or cannot run. */
+  reason: z.string().nullable(),
+});
+
+export type JobRequest = Readonly<z.infer<typeof jobRequestSchema>>;
+export type Job = Readonly<z.infer<typeof jobSchema>>;
+export type JobState = Job['state'];
+
+export function isTerminal(state: JobState): boolean {
+  return state === 'done' || state === 'failed' || state === 'cancelled' || state === 'cannot_run';
+}
+
+/** Whether a worker may have a task of the job. */
+export function isOnWorker(state: JobState): boolean {
+  return state === 'placed' || state === 'running';
+}
+
+export function declaredDemand(job: Job): Resources {
+  return { processors: job.processors, memoryBytes: job.memoryBytes, accelerators: job.accelerators };
+}
+
+/** Name of the current attempt; workers start each name at most once. */
+export function taskIdOf(job: Job): string {
+  return `${job.jobId}/${job.attempt}`;
+}
--- /dev/null
+++ b/jobs/job_service.ts
@@ -0,0 +1,220 @@
+/** Submitting, reading and cancelling jobs on behalf of callers, independent of the front end. */
+import { createHash, randomUUID } from 'node:crypto';
+import { authorize, type Authorization } from '../admission/authorize';
+import { keyIndexOf } from '../admission/key_index';
+import { capability } from '../kernel/capability';
+import type { Clock } from '../kernel/clock';
+import { eventType } from '../kernel/events';
+import type { FleetConfiguration } from '../model/fleet';
+import { Refusal } from '../model/refusal';
+import { RESULT_CODES } from '../model/result_code';
+import { TableOutcomeUnknownError, TableUnavailableError } from '../platform/table_service';
+import type { Counters } from '../telemetry/counters';
+import { cannotRunReason } from './fleet_fit';
+import { isOnWorker, isTerminal, type Job, type JobRequest } from './job';
+import type { JobStore, StoredJob } from './job_store';
+
+/** Attempts against the placement holder, which writes the same rows. */
+const WRITE_ATTEMPTS = 8;
+
+/** Published when a job of the pool was submitted or its cancellation requested here. */
+export const JOB_CHANGED = eventType<{ readonly poolId: string }>('jobs.changed');
+
+export const JOB_SERVICE = capability<JobService>('jobs.service');
+
+export interface JobServiceOptions {
+  readonly clock: Clock;
+  /** The configuration with evidence that it is current, `null` without. */
+  readonly freshFleet: () => FleetConfiguration | null;
+  readonly store: JobStore;
+  readonly counters: Counters;
+  readonly onChanged: (poolId: string) => void;
+}
+
+/** A decoded submit. */
+export interface JobSubmission {
+  readonly request: JobRequest;
+  readonly key: string | null;
+  readonly idempotencyKey: string | null;
+}
+
+/**
+ * Jobs as callers see them.
+ *
+ * @example
+ * ```ts
+ * const job = await service.submit({ request, key, idempotencyKey: 'night-run-7' });
+ * await service.cancel(job.jobId, key);
+ * ```
+ */
+export class JobService {
+  constructor(private readonly options: JobServiceOptions) {}
+
+  /**
+   * Accepts a job, or returns the one that the same idempotency key named
+   * before. Rejects with `Refusal`; a job that no instance of the pool can run
+   * is refused with the reason.
+   */
+  async submit(submission: JobSubmission): Promise<Job> {
+    const { request, key, idempotencyKey } = submission;
+    const fleet = this.requireFresh();
+    const { queue, teamId } = authorize(fleet, request.queueId, key);
+    if (teamId === null) throw refuse('missingKey');
+    const earlier = idempotencyKey === null ? null : await this.findEarlier(teamId, idempotencyKey);
+    if (earlier) return sameRequest(earlier.job, request);
+    const reason = cannotRunReason(fleet, queue.poolId, request);
+    if (reason !== null) {
+      this.options.counters.increment('jobs.refused', 'cannot_run');
+      throw new Refusal(RESULT_CODES.jobCannotRun, { outcome: 'not_run', detail: reason });
+    }
+    const job = this.newJob(request, { queue, teamId }, idempotencyKey);
+    return this.insert(job, request);
+  }
+
+  /** Rejects with `Refusal` `unknownJob` if there is none or it is another team's. */
+  async get(jobId: string, key: string | null): Promise<Job> {
+    const stored = await this.onTable(() => this.options.store.read(jobId), 'not_run');
+    return this.requireOwn(stored, key).job;
+  }
+
+  /**
+   * Cancels a job; cancelling again has no further effect. A job on a worker
+   * is stopped by the placement holder and reads as cancelled afterwards.
+   */
+  async cancel(jobId: string, key: string | null): Promise<Job> {
+    for (let attempt = 1; attempt <= WRITE_ATTEMPTS; attempt += 1) {
+      const read = await this.onTable(() => this.options.store.read(jobId), 'not_run');
+      const stored = this.requireOwn(read, key);
+      const next = cancelled(stored.job);
+      if (next === stored.job) return next;
+      const written = await this.onTable(() => this.options.store.update(stored, next), 'may_have_run');
+      if (written) {
+        this.options.counters.increment('jobs.cancel_requested');
+        this.options.onChanged(next.poolId);
+        return next;
+      }
+      this.options.counters.increment('jobs.write_retried', 'conflict');
+    }
+    throw new Refusal(RESULT_CODES.jobConflict, { outcome: 'not_run', retryAfterS: 1 });
+  }
+
+  private async insert(job: Job, request: JobRequest): Promise<Job> {
+    const { store, counters, onChanged } = this.options;
+    const result = await this.onTable(() => store.insert(job), 'may_have_run');
+    if (result === 'inserted') {
+      counters.increment('jobs.submitted');
+      onChanged(job.poolId);
+      return job;
+    }
+    const other = await this.onTable(() => store.read(job.jobId), 'may_have_run');
+    if (other === null) throw refuse('jobConflict');
+    return sameRequest(other.job, request);
+  }
+
+  private findEarlier(teamId: string, idempotencyKey: string): Promise<StoredJob | null> {
+    return this.onTable(() => this.options.store.read(jobIdFor(teamId, idempotencyKey)), 'not_run');
+  }
+
+  private newJob(request: JobRequest, authorization: Authorization, idempotencyKey: string | null): Job {
+    const { queue } = authorization;
+    const teamId = authorization.teamId ?? '';
+    return {
+      jobId: idempotencyKey === null ? randomUUID() : jobIdFor(teamId, idempotencyKey),
+      teamId,
+      queueId: queue.queueId,
+      poolId: queue.poolId,
+      processors: request.processors,
+      memoryBytes: request.memoryBytes,
+      accelerators: request.accelerators,
+      runTimeMs: request.runTimeMs,
+      priority: request.priority ?? queue.priority,
+      payload: request.payload,
+      fingerprint: fingerprintOf(request),
+      submittedAtMs: this.options.clock.wallMs(),
+      state: 'waiting',
+      attempt: 0,
+      epoch: 0,
+      instanceId: null,
+      checkpoint: null,
+      cancelRequested: false,
+      failures: 0,
+      failedOn: [],
+      losses: 0,
+      reason: null,
+    };
+  }
+
+  private requireOwn(stored: StoredJob | null, key: string | null): StoredJob {
+    const fleet = this.requireFresh();
+    if (key === null) throw refuse('missingKey');
+    const teamKey = keyIndexOf(fleet.keys).find(key);
+    if (teamKey === undefined) throw refuse('unknownKey');
+    if (teamKey.teamId !== stored?.job.teamId) throw refuse('unknownJob');
+    return stored;
+  }
+
+  private requireFresh(): FleetConfiguration {
+    const fleet = this.options.freshFleet();
+    if (fleet) return fleet;
+    throw new Refusal(RESULT_CODES.staleConfiguration, { outcome: 'not_run', retryAfterS: 1 });
+  }
+
+  private async onTable<T>(call: () => Promise<T>, unknownOutcome: 'not_run' | 'may_have_run'): Promise<T> {
+    try {
+      return await call();
+    } catch (error) {
+      if (error instanceof TableUnavailableError) {
+        this.options.counters.increment('jobs.refused', 'table_unavailable');
+        throw new Refusal(RESULT_CODES.platformUnavailable, {
+          outcome: 'not_run',
+          retryAfterS: 1,
+          cause: error,
+        });
+      }
+      if (!(error instanceof TableOutcomeUnknownError)) throw error;
+      this.options.counters.increment('jobs.refused', 'outcome_unknown');
+      throw new Refusal(RESULT_CODES.jobOutcomeUnknown, {
+        outcome: unknownOutcome,
+        retryAfterS: 1,
+        cause: error,
+      });
+    }
+  }
+}
+
+/** The same idempotency key of the same team names the same job on every entry instance. */
+export function jobIdFor(teamId: string, idempotencyKey: string): string {
+  return createHash('sha256').update(`${teamId}\n${idempotencyKey}`, 'utf8').digest('hex').slice(0, 32);
+}
+
+/** The job after a request to cancel it; the same object if that changes nothing. */
+export function cancelled(job: Job): Job {
+  if (isTerminal(job.state) || job.cancelRequested) return job;
+  if (isOnWorker(job.state)) return { ...job, cancelRequested: true };
+  return { ...job, cancelRequested: true, state: 'cancelled' };
+}
+
+function fingerprintOf(request: JobRequest): string {
+  const { queueId, priority, processors, memoryBytes, accelerators, runTimeMs, payload } = request;
+  const fields = [
+    queueId,
+    priority ?? null,
+    processors,
+    memoryBytes,
+    accelerators,
+    runTimeMs,
+    payload,
+  ] as const;
+  return createHash('sha256').update(JSON.stringify(fields), 'utf8').digest('hex');
+}
+
+function sameRequest(job: Job, request: JobRequest): Job {
+  if (job.fingerprint === fingerprintOf(request)) return job;
+  throw refuse('idempotencyKeyReused');
+}
+
+function refuse(
+  name: 'missingKey' | 'unknownKey' | 'unknownJob' | 'jobConflict' | 'idempotencyKeyReused',
+): Refusal {
+  return new Refusal(RESULT_CODES[name], { outcome: 'not_run' });
+}
--- /dev/null
+++ b/jobs/job_store.ts
@@ -0,0 +1,123 @@
+/** Rows of jobs in the table service, with an index of the open jobs of each pool. */
+import { randomUUID } from 'node:crypto';
+import type { Clock } from '../kernel/clock';
+import {
+  TableOutcomeUnknownError,
+  type Condition,
+  type Row,
+  type TableService,
+  type Transaction,
+  type Write,
+} from '../platform/table_service';
+import { isTerminal, jobSchema, type Job } from './job';
+
+/** Attempts to learn the fate of a write whose answer was lost. */
+const READ_BACK_ATTEMPTS = 3;
+const READ_BACK_DELAY_MS = 100;
+
+/** A job as read, with the version of its row. */
+export interface StoredJob {
+  readonly job: Job;
+  readonly version: number;
+}
+
+/**
+ * Reads and conditionally writes jobs. `open_job/<poolId>/<jobId>` exists
+ * while a job is not in a terminal state and is rewritten with it, so that the
+ * placement holder sees by one prefix read what changed.
+ *
+ * @example
+ * ```ts
+ * const stored = await store.read(jobId);
+ * const next = await store.update(stored, { ...stored.job, state: 'cancelled' });
+ * ```
+ */
+export class JobStore {
+  constructor(
+    private readonly table: TableService,
+    private readonly clock: Clock,
+  ) {}
+
+  /** Adds a job; `exists` if there is one with the id. Throws the errors of the table service. */
+  async insert(job: Job): Promise<'inserted' | 'exists'> {
+    const stored = await this.write(job, [{ key: jobKey(job.jobId), version: null }]);
+    return stored ? 'inserted' : 'exists';
+  }
+
+  /**
+   * Replaces a job as read; `null` if it or the extra condition has changed.
+   * A lost answer is read back. Throws `TableUnavailableError`, or
+   * `TableOutcomeUnknownError` if the write may still take effect.
+   */
+  update(stored: StoredJob, next: Job, extra?: Condition): Promise<StoredJob | null> {
+    const own = { key: jobKey(next.jobId), version: stored.version };
+    return this.write(next, extra ? [own, extra] : [own]);
+  }
+
+  async read(jobId: string): Promise<StoredJob | null> {
+    const [row] = await this.table.read({ keys: [jobKey(jobId)] });
+    return row ? parseRow(row) : null;
+  }
+
+  async readMany(jobIds: readonly string[]): Promise<readonly StoredJob[]> {
+    if (jobIds.length === 0) return [];
+    return (await this.table.read({ keys: jobIds.map(jobKey) })).map(parseRow);
+  }
+
+  /** Ids of the open jobs of a pool, each with a number that changes when the job does. */
+  async openJobs(poolId: string): Promise<ReadonlyMap<string, number>> {
+    const prefix = `open_job/${poolId}/`;
+    const rows = await this.table.read({ prefixes: [prefix] });
+    return new Map(rows.map(({ key, version }) => [key.slice(prefix.length), version]));
+  }
+
+  /** Pools that have open jobs. Reads the whole index. */
+  async poolsWithOpenJobs(): Promise<ReadonlySet<string>> {
+    const rows = await this.table.read({ prefixes: ['open_job/'] });
+    return new Set(rows.map(({ key }) => key.split('/')[1] ?? ''));
+  }
+
+  private async write(job: Job, conditions: readonly Condition[]): Promise<StoredJob | null> {
+    const writeId = randomUUID();
+    const key = jobKey(job.jobId);
+    const indexValue = isTerminal(job.state) ? null : { state: job.state };
+    const index: Write = { key: `open_job/${job.poolId}/${job.jobId}`, value: indexValue };
+    const transaction: Transaction = {
+      conditions,
+      writes: [{ key, value: { ...job, writeId } }, index],
+    };
+    try {
+      const result = await this.table.transact(transaction);
+      if (result.kind === 'conflict') return null;
+      return { job, version: result.versions.get(key) ?? 0 };
+    } catch (error) {
+      if (!(error instanceof TableOutcomeUnknownError)) throw error;
+      return await this.readBack(job, writeId, conditions[0]?.version ?? null);
+    }
+  }
+
+  private async readBack(job: Job, writeId: string, baseVersion: number | null): Promise<StoredJob | null> {
+    for (let attempt = 1; attempt <= READ_BACK_ATTEMPTS; attempt += 1) {
+      await this.clock.delay(READ_BACK_DELAY_MS * attempt);
+      try {
+        const [row] = await this.table.read({ keys: [jobKey(job.jobId)] });
+        if (row && (row.value as { readonly writeId?: unknown }).writeId === writeId) {
+          return { job, version: row.version };
+        }
+        if (row && row.version !== baseVersion) return null;
+      } catch {
+        // The table is still away; the next attempt may reach it.
+      }
+    }
+    // The write may still be on its way, so "not written" cannot be concluded.
+    throw new TableOutcomeUnknownError('The fate of the write of a job could not be read back.');
+  }
+}
+
+function jobKey(jobId: string): string {
+  return `job/${jobId}`;
+}
+
+function parseRow(row: Row): StoredJob {
+  return { job: jobSchema.parse(row.value), version: row.version };
+}
--- a/model/fleet.ts
+++ b/model/fleet.ts
@@ -49,6 +49,13 @@
   rack: id,
   slots: z.int().min(1).max(4096).default(8),
   connections: z.int().min(1).max(65_536).default(64),
+  processors: z.int().min(1).max(4096).default(32),
+  memoryBytes: z
+    .int()
+    .min(1)
+    .max(2 ** 50)
+    .default(128 * 2 ** 30),
+  accelerators: z.int().min(0).max(1024).default(0),
 });
 
 /** A maintenance wave: every listed instance is drained and rebooted once. */
--- a/model/result_code.ts
+++ b/model/result_code.ts
@@ -88,4 +88,11 @@
   internalError: resultCode(5002, 'internalError', 500, 'An internal error occurred.'),
   unknownJob: resultCode(6001, 'unknownJob', 404, 'The job does not exist.'),
   jobCannotRun: resultCode(6002, 'jobCannotRun', 422, 'No instance of the pool can ever run the job.'),
+  jobConflict: resultCode(6003, 'jobConflict', 409, 'Other writers kept changing the job.'),
+  jobOutcomeUnknown: resultCode(
+    6004,
+    'jobOutcomeUnknown',
+    503,
+    'The job may have been accepted or cancelled; send the request again with the same idempotency key.',
+  ),
 } as const satisfies Record<string, ResultCode>;
--- a/standins/worker_app.ts
+++ b/standins/worker_app.ts
@@ -1,6 +1,7 @@
 /** Stand-in for a target instance: answers requests after a set service time. */
 import { Hono } from 'hono';
 import type { Clock } from '../kernel/clock';
+import { taskApp } from './task_app';
 
 export interface WorkerAppOptions {
   readonly clock: Clock;
@@ -14,6 +15,7 @@
   const app = new Hono();
   let served = 0;
   app.get('/stats', (context) => context.json({ instanceId: options.instanceId, served }));
+  app.route('/', taskApp({ clock: options.clock }));
   app.all('*', async (context) => {
     const body = await context.req.text();
     await options.clock.delay(options.serviceMs);
--- a/telemetry/events_catalogue.ts
+++ b/telemetry/events_catalogue.ts
@@ -21,4 +21,11 @@
   configurationApplied: logEvent(300, 'configuration applied'),
   configurationStale: logEvent(301, 'configuration stale'),
   tableUnavailable: logEvent(400, 'table service unavailable'),
+  placementHeld: logEvent(700, 'placement role held'),
+  placementLost: logEvent(701, 'placement role lost'),
+  jobEnded: logEvent(702, 'job ended'),
+  jobRetried: logEvent(703, 'job retried'),
+  workerSuspended: logEvent(704, 'worker taken out of placement'),
+  batchWorkPreempted: logEvent(705, 'batch work preempted'),
+  placementFailed: logEvent(706, 'placement step failed'),
 } as const satisfies Record<string, LogEvent>;
