Admit against grants within the upper limit and from a fair queue per pool

Cause: the gate counted running work on one entry instance only, so several instances together could pass a team's upper limit, and nothing waited for a free slot.

Change: rows limit/<teamId> hold the limit and a grant per member incarnation. PoolLine and FairQueue hold waiting work; a SharePolicy orders it; slots are divided among members on exchanged demand.

--- a/admission/admission_plugin.ts
+++ b/admission/admission_plugin.ts
@@ -1,18 +1,54 @@
 /** Provides the admission gate. */
-import { CONFIGURATION } from '../config/configuration_service';
+import { CONFIGURATION, CONFIGURATION_CHANGED } from '../config/configuration_service';
+import { objectName } from '../config/change';
 import type { Kernel } from '../kernel/kernel';
 import { Plugin } from '../kernel/plugin';
 import { pluginRegistry } from '../kernel/plugin_registry';
+import { MEMBERSHIP, MEMBERSHIP_UPDATED } from '../membership/membership';
+import { PEER_EXCHANGE } from '../peers/exchange';
+import { TABLE } from '../platform/platform_plugin';
+import { COUNTERS, SETTINGS } from '../settings/base_capabilities';
 import { ADMISSION } from './admission_gate';
-import { LocalAdmissionGate } from './local_admission_gate';
+import { AdmissionService } from './admission_service';
+import { WeightedFair } from './weighted_fair';
 
 class AdmissionPlugin extends Plugin {
   override readonly name = 'admission';
-  override readonly requires = ['config'];
+  override readonly requires = ['platform', 'config', 'membership', 'peers'];
+  private service: AdmissionService | null = null;
 
   override setUp(kernel: Kernel): void {
     const configuration = kernel.use(CONFIGURATION);
-    kernel.provide(ADMISSION, new LocalAdmissionGate(() => configuration.fleet()));
+    const service = new AdmissionService({
+      clock: kernel.clock,
+      loop: kernel.loop,
+      counters: kernel.use(COUNTERS),
+      table: kernel.use(TABLE),
+      membership: kernel.use(MEMBERSHIP),
+      exchange: kernel.use(PEER_EXCHANGE),
+      memberId: kernel.use(SETTINGS).memberId,
+      fleet: () => configuration.fleet(),
+      teamTicket: (teamId) => configuration.state().ticketNumbers.get(objectName('teams', teamId)) ?? 0,
+      isFresh: () => configuration.isFresh(),
+      newPolicy: () => new WeightedFair(),
+      random: Math.random,
+    });
+    this.service = service;
+    const update = (): void => {
+      service.surroundingsChanged();
+    };
+    kernel.events.subscribe(CONFIGURATION_CHANGED, update);
+    kernel.events.subscribe(MEMBERSHIP_UPDATED, update);
+    kernel.provide(ADMISSION, service.gate);
+  }
+
+  override start(): Promise<void> {
+    this.service?.start();
+    return Promise.resolve();
+  }
+
+  override async stop(): Promise<void> {
+    await this.service?.stop();
   }
 }
 
--- /dev/null
+++ b/admission/admission_service.ts
@@ -0,0 +1,114 @@
+/** Assembles the gate, the grants and the exchange of demand of one member. */
+import type { Clock } from '../kernel/clock';
+import type { EventLoop } from '../kernel/event_loop';
+import type { Membership } from '../membership/membership';
+import type { FleetConfiguration } from '../model/fleet';
+import type { PeerExchange } from '../peers/exchange';
+import type { TableService } from '../platform/table_service';
+import type { Counters } from '../telemetry/counters';
+import { DemandSection, type PoolCounts } from './demand_section';
+import { FairAdmissionGate } from './fair_admission_gate';
+import { GrantKeeper } from './grant_keeper';
+import { grantPart } from './grant_parts';
+import type { SharePolicy } from './share_policy';
+
+export interface AdmissionServiceOptions {
+  readonly clock: Clock;
+  readonly loop: EventLoop;
+  readonly counters: Counters;
+  readonly table: TableService;
+  readonly membership: Membership;
+  readonly exchange: PeerExchange;
+  readonly memberId: string;
+  readonly fleet: () => FleetConfiguration;
+  /** Number of the ticket that last set or removed a team. */
+  readonly teamTicket: (teamId: string) => number;
+  readonly isFresh: () => boolean;
+  readonly newPolicy: () => SharePolicy;
+  readonly random: () => number;
+}
+
+/**
+ * @example
+ * ```ts
+ * const service = new AdmissionService(options);
+ * service.start();
+ * const admission = await service.gate.admit(request);
+ * ```
+ */
+export class AdmissionService {
+  readonly gate: FairAdmissionGate;
+  readonly keeper: GrantKeeper;
+  private readonly demand: DemandSection;
+
+  constructor(private readonly options: AdmissionServiceOptions) {
+    this.keeper = this.newKeeper();
+    this.demand = new DemandSection({
+      membership: options.membership,
+      counters: options.counters,
+      own: () => this.gate.counts(),
+      onChanged: () => {
+        this.gate.peersChanged();
+      },
+    });
+    this.gate = new FairAdmissionGate({
+      ...options,
+      keeper: this.keeper,
+      peers: () => this.demand.peers(),
+      peerIds: () => this.peerIds(),
+    });
+    options.exchange.addSection(this.demand);
+  }
+
+  start(): void {
+    this.keeper.start();
+  }
+
+  /** Refuses waiting work and hands the grants back. */
+  async stop(): Promise<void> {
+    this.gate.close();
+    await this.keeper.stop();
+  }
+
+  /** The membership or the configuration has changed. */
+  surroundingsChanged(): void {
+    this.demand.dropEnded();
+    this.gate.peersChanged();
+  }
+
+  private newKeeper(): GrantKeeper {
+    const { fleet, teamTicket } = this.options;
+    return new GrantKeeper({
+      ...this.options,
+      configuredLimit: (teamId) => ({
+        limit: fleet().teams.get(teamId)?.upperLimit ?? 0,
+        ticket: teamTicket(teamId),
+      }),
+      part: (teamId) => this.part(teamId),
+      onGained: () => {
+        this.gate.pumpAll();
+      },
+    });
+  }
+
+  private part(teamId: string): number {
+    const { fleet, memberId } = this.options;
+    const members = new Map<string, PoolCounts>([...this.demand.peers(), [memberId, this.gate.counts()]]);
+    const limit = fleet().teams.get(teamId)?.upperLimit ?? 0;
+    return grantPart({
+      teamId,
+      limit,
+      selfId: memberId,
+      members,
+      slotsOf: (poolId) => this.gate.slots(poolId),
+    });
+  }
+
+  private peerIds(): readonly string[] {
+    const { membership, memberId } = this.options;
+    return membership
+      .registered()
+      .map((member) => member.memberId)
+      .filter((id) => id !== memberId);
+  }
+}
--- /dev/null
+++ b/admission/pool_line.ts
@@ -0,0 +1,125 @@
+/** The waiting and running work of one pool on this member. */
+import type { AdmissionRequest } from './admission_gate';
+import { FairQueue, type Waiting } from './fair_queue';
+import type { Charge, SharePolicy, WaitingHead } from './share_policy';
+import { shareSlots, type SlotShare, type SlotShareInputs, type TeamCounts } from './slot_shares';
+
+/** Age at which the division of the slots is computed again, in milliseconds. */
+const SHARE_AGE_MS = 100;
+
+/** A waiting request and what settles it. */
+export interface LineItem {
+  readonly request: AdmissionRequest;
+  readonly start: (charge: Charge) => void;
+  readonly refuse: (reason: RefusalReason) => void;
+}
+
+export type RefusalReason =
+  | 'queueFull'
+  | 'deadlineExceeded'
+  | 'limitUnavailable'
+  | 'shuttingDown'
+  | 'staleConfiguration'
+  | 'noTarget'
+  | 'cancelled';
+
+export type LineSurroundings = Omit<SlotShareInputs, 'selfId' | 'members'> & {
+  readonly nowMs: number;
+  readonly selfId: string;
+  /** Last counts of the live peers in this pool. */
+  readonly peers: ReadonlyMap<string, TeamCounts>;
+  readonly mayStart: (teamId: string) => boolean;
+};
+
+/** Decides which requests of a pool start; knows nothing of grants but whether a team may start. */
+export class PoolLine {
+  readonly queue = new FairQueue<LineItem>();
+  private readonly running = new Map<string, number>();
+  private totalRunning = 0;
+  private share: SlotShare = { slots: 0, entitled: new Map() };
+  private shareUntilMs = Number.NEGATIVE_INFINITY;
+
+  constructor(private readonly policy: SharePolicy) {}
+
+  /** Running and waiting work of each team. */
+  counts(): TeamCounts {
+    const teams = new Set([...this.running.keys(), ...this.queue.teams()]);
+    return new Map([...teams].map((teamId) => [teamId, this.count(teamId)]));
+  }
+
+  /** Work of a team that runs or could run if it had the member's whole part of the pool. */
+  need(teamId: string): number {
+    const { running, waiting } = this.count(teamId);
+    return running + Math.min(waiting, Math.max(1, this.share.slots));
+  }
+
+  isIdle(): boolean {
+    return this.totalRunning === 0 && this.queue.teams().length === 0;
+  }
+
+  /** The division of the slots is computed again before the next start. */
+  shareIsOutdated(): void {
+    this.shareUntilMs = Number.NEGATIVE_INFINITY;
+  }
+
+  /** Starts the next request if a slot is free for one; returns whether it did. */
+  startNext(around: LineSurroundings): boolean {
+    this.updateShare(around);
+    if (!this.hasFreeSlot(around)) return false;
+    const heads = this.queue.heads(around.mayStart);
+    if (!isFilled(heads)) return false;
+    const entitled = (teamId: string): number => this.share.entitled.get(teamId) ?? 0;
+    const view = { nowMs: around.nowMs, heads, entitled };
+    const next = this.policy.select(view);
+    const charge = this.policy.started(next, view);
+    const waiting = heads.find(({ sequence }) => sequence === next.sequence) ?? heads[0];
+    this.queue.remove(waiting);
+    this.add(waiting.teamId, 1);
+    waiting.item.start(charge);
+    return true;
+  }
+
+  ended(charge: Charge, ranMs: number): void {
+    this.add(charge.teamId, -1);
+    this.policy.ended(charge, ranMs);
+  }
+
+  /** Refuses the requests whose deadline has passed. */
+  dropOverdue(nowMs: number): void {
+    for (const { item } of this.queue.takeOverdue(nowMs)) item.refuse('deadlineExceeded');
+  }
+
+  private hasFreeSlot(around: LineSurroundings): boolean {
+    if (this.totalRunning >= this.share.slots) return false;
+    const ofPeers = [...around.peers.values()].reduce((sum, teams) => sum + runningOf(teams), 0);
+    return this.totalRunning + ofPeers < around.slots;
+  }
+
+  private updateShare(around: LineSurroundings): void {
+    if (around.nowMs < this.shareUntilMs) return;
+    this.shareUntilMs = around.nowMs + SHARE_AGE_MS;
+    const members = new Map([...around.peers, [around.selfId, this.counts()]]);
+    this.share = shareSlots({ ...around, members });
+  }
+
+  private count(teamId: string): { readonly running: number; readonly waiting: number } {
+    return { running: this.running.get(teamId) ?? 0, waiting: this.queue.count(teamId) };
+  }
+
+  private add(teamId: string, amount: number): void {
+    const running = (this.running.get(teamId) ?? 0) + amount;
+    this.totalRunning += amount;
+    if (running === 0) this.running.delete(teamId);
+    else this.running.set(teamId, running);
+  }
+}
+
+function runningOf(teams: TeamCounts): number {
+  return [...teams.values()].reduce((sum, { running }) => sum + running, 0);
+}
+
+function isFilled(
+  heads: readonly Waiting<LineItem>[],
+): heads is readonly [Waiting<LineItem>, ...Waiting<LineItem>[]] & readonly [WaitingHead, ...WaitingHead[]] {
+  return heads.length > 0;
+}
--- /dev/null
+++ b/admission/weighted_fair.ts
@@ -0,0 +1,94 @@
+/**
+ * Urgent work first, then weighted fair order over teams.
+ *
+ * Each team has a virtual time: the slot time it used, divided by the slots it
+ * is entitled to. The team with the smallest virtual time is next. A start is
+ * charged with the mean run time of the pool and corrected when the work ends,
+ * since declared run times may be far off.
+ */
+import { firstBy, rankOf, SharePolicy, type Charge, type PolicyView, type WaitingHead } from './share_policy';
+
+/** Of this many starts in a row, one goes to a lower class that has waited long enough. */
+const STARTS_PER_LOWER_CLASS = 8;
+
+/** Waiting time after which a lower class gets its turns, in milliseconds. */
+const LOWER_CLASS_PATIENCE_MS = 1_000;
+
+/** Smallest number of slots in a division, for teams whose demand has only just been seen. */
+const LEAST_SLOTS = 0.1;
+
+/** Weight of the latest run time in the mean. */
+const RUN_TIME_GAIN = 0.05;
+
+const FIRST_ESTIMATE_MS = 100;
+
+type Heads = readonly [WaitingHead, ...WaitingHead[]];
+
+export class WeightedFair extends SharePolicy {
+  private readonly virtualMs = new Map<string, number>();
+  private active: ReadonlySet<string> = new Set();
+  private virtualNowMs = 0;
+  private meanRunMs = FIRST_ESTIMATE_MS;
+  private startsAboveLowerClass = 0;
+
+  override select(view: PolicyView): WaitingHead {
+    this.activate(view.heads);
+    const urgent = view.heads.filter(({ priority }) => priority === 'urgent');
+    const others = view.heads.filter(({ priority }) => priority !== 'urgent');
+    if (isFilled(urgent) && isFilled(others)) {
+      return this.selectFair(this.isTurnOfLowerClass(others, view.nowMs) ? others : urgent, view.nowMs);
+    }
+    return this.selectFair(view.heads, view.nowMs);
+  }
+
+  override started(head: WaitingHead, view: PolicyView): Charge {
+    const best = Math.min(...view.heads.map(({ priority }) => rankOf(priority)));
+    this.startsAboveLowerClass = rankOf(head.priority) > best ? 0 : this.startsAboveLowerClass + 1;
+    const slots = Math.max(LEAST_SLOTS, view.entitled(head.teamId));
+    this.add(head.teamId, this.meanRunMs / slots);
+    return { teamId: head.teamId, estimateMs: this.meanRunMs, slots };
+  }
+
+  override ended(charge: Charge, ranMs: number): void {
+    this.add(charge.teamId, (ranMs - charge.estimateMs) / charge.slots);
+    this.meanRunMs += RUN_TIME_GAIN * (ranMs - this.meanRunMs);
+  }
+
+  /** The team with the smallest virtual time, and its highest class. */
+  private selectFair(heads: Heads, nowMs: number): WaitingHead {
+    const next = firstBy(heads, (a, b) => this.timeOf(a) - this.timeOf(b) || a.sequence - b.sequence);
+    const ofTeam = heads.filter(({ teamId }) => teamId === next.teamId);
+    const best = firstBy([next, ...ofTeam], (a, b) => rankOf(a.priority) - rankOf(b.priority));
+    const lower = ofTeam.filter(({ priority }) => rankOf(priority) > rankOf(best.priority));
+    if (!isFilled(lower) || !this.isTurnOfLowerClass(lower, nowMs)) return best;
+    return firstBy(lower, (a, b) => a.sequence - b.sequence);
+  }
+
+  private isTurnOfLowerClass(lower: readonly WaitingHead[], nowMs: number): boolean {
+    if (this.startsAboveLowerClass < STARTS_PER_LOWER_CLASS - 1) return false;
+    return lower.some(({ sinceMs }) => nowMs - sinceMs >= LOWER_CLASS_PATIENCE_MS);
+  }
+
+  /** Keeps a team that had nothing waiting from saving up time. */
+  private activate(heads: Heads): void {
+    const teams = new Set(heads.map(({ teamId }) => teamId));
+    for (const teamId of teams) {
+      if (this.active.has(teamId)) continue;
+      this.virtualMs.set(teamId, Math.max(this.virtualMs.get(teamId) ?? 0, this.virtualNowMs));
+    }
+    this.active = teams;
+    this.virtualNowMs = Math.max(this.virtualNowMs, Math.min(...heads.map((head) => this.timeOf(head))));
+  }
+
+  private timeOf(head: WaitingHead): number {
+    return this.virtualMs.get(head.teamId) ?? 0;
+  }
+
+  private add(teamId: string, ms: number): void {
+    this.virtualMs.set(teamId, (this.virtualMs.get(teamId) ?? 0) + ms);
+  }
+}
+
+function isFilled(heads: readonly WaitingHead[]): heads is Heads {
+  return heads.length > 0;
+}
