--- a/admission/grant_demand.ts
+++ b/admission/grant_demand.ts
@@ -9,6 +9,9 @@
 /** Spare part of a grant, so that small changes of demand cost no table write. */
 const HEADROOM = 0.25;
 
+/** Smallest spare part; with less, members of a small team write the row for almost every request. */
+const LEAST_HEADROOM = 4;
+
 /** Highest need within the last {@link GRANT_IDLE_MS}. */
 export class NeedPeak {
   private buckets: readonly { readonly index: number; readonly peak: number }[] = [];
@@ -49,10 +52,12 @@
   const most = Math.max(running, part);
   if (returnNow) return Math.min(held, most, base);
   if (base > held) return Math.min(most, withHeadroom(base));
+  if (most < held) return most;
   const enough = Math.max(base, withHeadroom(peakNeed));
-  return Math.min(held, most, enough);
+  const excess = held - enough;
+  return enough === 0 || excess > Math.max(LEAST_HEADROOM, held * HEADROOM) ? Math.min(held, enough) : held;
 }
 
 function withHeadroom(need: number): number {
-  return need + Math.ceil(need * HEADROOM);
+  return need === 0 ? 0 : need + Math.max(LEAST_HEADROOM, Math.ceil(need * HEADROOM));
 }
--- a/admission/grant_keeper.ts
+++ b/admission/grant_keeper.ts
@@ -18,6 +18,9 @@
 const SHORTAGE_RETRY_MS = 500;
 
 const CONFLICT_RETRY_MS = 10;
+
+/** Conflicts end soon: a member that waits longer than its rivals would never get its turn. */
+const LONGEST_CONFLICT_RETRY_MS = 80;
 const FAILURE_RETRY_MS = 200;
 const LONGEST_RETRY_MS = 2_000;
 
@@ -197,7 +200,7 @@
       entry.isTableFailing = false;
     } catch (error) {
       entry.isTableFailing = true;
-      this.retryLater(entry, FAILURE_RETRY_MS);
+      this.retryLater(entry, FAILURE_RETRY_MS, LONGEST_RETRY_MS);
       const reason = error instanceof TableUnavailableError ? 'table_unavailable' : 'outcome_unknown';
       this.options.counters.increment('grants.retry', reason);
       if (step.kind === 'write') {
@@ -239,11 +242,11 @@
       result.rows.find((row) => row.key === key),
       nowMs,
     );
-    this.retryLater(entry, CONFLICT_RETRY_MS);
+    this.retryLater(entry, CONFLICT_RETRY_MS, LONGEST_CONFLICT_RETRY_MS);
   }
 
-  private retryLater(entry: Entry, firstMs: number): void {
-    const delayMs = Math.min(LONGEST_RETRY_MS, firstMs * 2 ** entry.failures) * this.spread();
+  private retryLater(entry: Entry, firstMs: number, longestMs: number): void {
+    const delayMs = Math.min(longestMs, firstMs * 2 ** entry.failures) * this.spread();
     entry.failures = Math.min(entry.failures + 1, 10);
     entry.retryAtMs = this.options.clock.monotonicMs() + delayMs;
   }
--- a/admission/pool_line.ts
+++ b/admission/pool_line.ts
@@ -69,8 +69,9 @@
     const heads = this.queue.heads(around.mayStart);
     if (!isFilled(heads)) return false;
     const entitled = (teamId: string): number => this.share.entitled.get(teamId) ?? 0;
-    const view = { nowMs: around.nowMs, heads, entitled };
+    const view = { nowMs: around.nowMs, heads, slots: this.share.slots, entitled };
     const next = this.policy.select(view);
+    if (next === null) return false;
     const charge = this.policy.started(next, view);
     const waiting = heads.find(({ sequence }) => sequence === next.sequence) ?? heads[0];
     this.queue.remove(waiting);
--- a/admission/share_policy.ts
+++ b/admission/share_policy.ts
@@ -15,6 +15,8 @@
   readonly nowMs: number;
   /** One head per team and class; only teams that may start work. Never empty. */
   readonly heads: readonly [WaitingHead, ...WaitingHead[]];
+  /** Slots that this member may fill. */
+  readonly slots: number;
   /** Slots to which a team is entitled on this member. */
   readonly entitled: (teamId: string) => number;
 }
@@ -28,7 +30,8 @@
 
 /** Chooses the next request of one pool. */
 export abstract class SharePolicy {
-  abstract select(view: PolicyView): WaitingHead;
+  /** The next request, or `null` to leave the slot free. */
+  abstract select(view: PolicyView): WaitingHead | null;
 
   /** Called for every start. */
   started(head: WaitingHead, view: PolicyView): Charge {
--- a/admission/team_grant.ts
+++ b/admission/team_grant.ts
@@ -89,9 +89,12 @@
     return Math.min(usable, this.lowered);
   }
 
-  /** Whether the member needs more than it may use. */
+  /** Whether the member needs more than it may use and the row as last seen has nothing left. */
   isShort(around: GrantSurroundings): boolean {
-    return Math.min(this.needed, around.part()) > this.usable(around);
+    if (this.row === null || this.needed <= this.usable(around)) return false;
+    return (
+      sumOfGrants(this.row) >= this.row.limit && Math.min(this.needed, around.part()) > this.usable(around)
+    );
   }
 
   /** The next table call, or `null` if there is nothing to do. */
