Order teams by the slot time that they use on all members

Cause: each member charged a team by its demand-weighted part of the local slots. These parts are small and noisy, and a charge divided by them is too high on average, so that teams with few requests missed their share.

Change: a team's virtual time counts its own work and, as time passes, its running work on peers, divided by its configured weight. The division of slots now yields one number per member.

--- a/admission/pool_line.ts
+++ b/admission/pool_line.ts
@@ -2,7 +2,7 @@
 import type { AdmissionRequest } from './admission_gate';
 import { FairQueue, type Waiting } from './fair_queue';
 import type { Charge, SharePolicy, WaitingHead } from './share_policy';
-import { shareSlots, type SlotShare, type SlotShareInputs, type TeamCounts } from './slot_shares';
+import { shareSlots, type SlotShareInputs, type TeamCounts } from './slot_shares';
 
 /** Age at which the division of the slots is computed again, in milliseconds. */
 const SHARE_AGE_MS = 100;
@@ -36,7 +36,8 @@
   readonly queue = new FairQueue<LineItem>();
   private readonly running = new Map<string, number>();
   private totalRunning = 0;
-  private share: SlotShare = { slots: 0, entitled: new Map() };
+  /** Slots that this member may fill. */
+  private slots = 0;
   private shareUntilMs = Number.NEGATIVE_INFINITY;
 
   constructor(private readonly policy: SharePolicy) {}
@@ -50,7 +51,7 @@
   /** Work of a team that runs or could run if it had the member's whole part of the pool. */
   need(teamId: string): number {
     const { running, waiting } = this.count(teamId);
-    return running + Math.min(waiting, Math.max(1, this.share.slots));
+    return running + Math.min(waiting, Math.max(1, this.slots));
   }
 
   isIdle(): boolean {
@@ -68,8 +69,10 @@
     if (!this.hasFreeSlot(around)) return false;
     const heads = this.queue.heads(around.mayStart);
     if (!isFilled(heads)) return false;
-    const entitled = (teamId: string): number => this.share.entitled.get(teamId) ?? 0;
-    const view = { nowMs: around.nowMs, heads, slots: this.share.slots, entitled };
+    const { nowMs, weightOf } = around;
+    const runningOnPeers = (teamId: string): number =>
+      [...around.peers.values()].reduce((sum, teams) => sum + (teams.get(teamId)?.running ?? 0), 0);
+    const view = { nowMs, heads, slots: this.slots, weightOf, runningOnPeers };
     const next = this.policy.select(view);
     if (next === null) return false;
     const charge = this.policy.started(next, view);
@@ -91,7 +94,7 @@
   }
 
   private hasFreeSlot(around: LineSurroundings): boolean {
-    if (this.totalRunning >= this.share.slots) return false;
+    if (this.totalRunning >= this.slots) return false;
     const ofPeers = [...around.peers.values()].reduce((sum, teams) => sum + runningOf(teams), 0);
     return this.totalRunning + ofPeers < around.slots;
   }
@@ -100,7 +103,7 @@
     if (around.nowMs < this.shareUntilMs) return;
     this.shareUntilMs = around.nowMs + SHARE_AGE_MS;
     const members = new Map([...around.peers, [around.selfId, this.counts()]]);
-    this.share = shareSlots({ ...around, members });
+    this.slots = shareSlots({ ...around, members });
   }
 
   private count(teamId: string): { readonly running: number; readonly waiting: number } {
--- a/admission/share_policy.ts
+++ b/admission/share_policy.ts
@@ -17,15 +17,16 @@
   readonly heads: readonly [WaitingHead, ...WaitingHead[]];
   /** Slots that this member may fill. */
   readonly slots: number;
-  /** Slots to which a team is entitled on this member. */
-  readonly entitled: (teamId: string) => number;
+  readonly weightOf: (teamId: string) => number;
+  /** Running work of a team in this pool on all peers, as last reported. */
+  readonly runningOnPeers: (teamId: string) => number;
 }
 
 /** What a start was charged, to be corrected when the work ends. */
 export interface Charge {
   readonly teamId: string;
   readonly estimateMs: number;
-  readonly slots: number;
+  readonly weight: number;
 }
 
 /** Chooses the next request of one pool. */
@@ -35,7 +36,7 @@
 
   /** Called for every start. */
   started(head: WaitingHead, view: PolicyView): Charge {
-    return { teamId: head.teamId, estimateMs: 0, slots: view.entitled(head.teamId) };
+    return { teamId: head.teamId, estimateMs: 0, weight: view.weightOf(head.teamId) };
   }
 
   /** Called when started work has ended after `ranMs` milliseconds. */
--- a/admission/slot_shares.ts
+++ b/admission/slot_shares.ts
@@ -18,19 +18,12 @@
   readonly limitOf: (teamId: string) => number;
 }
 
-export interface SlotShare {
-  /** Slots that this member may fill. */
-  readonly slots: number;
-  /** Slots of this member by right of each team; the rest is lent out. */
-  readonly entitled: ReadonlyMap<string, number>;
-}
-
 /**
- * Divides the slots among teams by weight and each team's part among members
- * by demand. Slots that nobody asks for are spread evenly, so that a member
- * can start new work before its peers know of it.
+ * Slots that this member may fill. Divides the slots among teams by weight and
+ * each team's part among members by demand. Slots that nobody asks for are
+ * spread evenly, so that a member can start new work before its peers know of it.
  */
-export function shareSlots(inputs: SlotShareInputs): SlotShare {
+export function shareSlots(inputs: SlotShareInputs): number {
   const { members, selfId, slots } = inputs;
   const demand = totalDemand(members);
   const claims = [...demand].map(([id, total]) => ({
@@ -40,23 +33,15 @@
   }));
   const ofTeams = divideFairly(slots, claims);
   const unclaimed = slots - [...ofTeams.values()].reduce((sum, part) => sum + part, 0);
-  const entitledOn = (counts: TeamCounts): ReadonlyMap<string, number> =>
-    new Map(
-      [...counts].map(([teamId, count]) => {
-        const total = demand.get(teamId) ?? 0;
-        return [teamId, total === 0 ? 0 : ((ofTeams.get(teamId) ?? 0) * demandOf(count)) / total];
-      }),
-    );
+  const claimedBy = (counts: TeamCounts): number =>
+    [...counts].reduce((sum, [teamId, count]) => {
+      const total = demand.get(teamId) ?? 0;
+      return total === 0 ? sum : sum + ((ofTeams.get(teamId) ?? 0) * demandOf(count)) / total;
+    }, 0);
   const parts = new Map(
-    [...members].map(([memberId, counts]) => {
-      const entitled = [...entitledOn(counts).values()].reduce((sum, part) => sum + part, 0);
-      return [memberId, entitled + unclaimed / members.size];
-    }),
+    [...members].map(([memberId, counts]) => [memberId, claimedBy(counts) + unclaimed / members.size]),
   );
-  return {
-    slots: roundParts(parts).get(selfId) ?? 0,
-    entitled: entitledOn(members.get(selfId) ?? new Map<string, WorkCount>()),
-  };
+  return roundParts(parts).get(selfId) ?? 0;
 }
 
 function totalDemand(members: ReadonlyMap<string, TeamCounts>): ReadonlyMap<string, number> {
--- a/admission/weighted_fair.ts
+++ b/admission/weighted_fair.ts
@@ -1,10 +1,12 @@
 /**
  * Urgent work first, then weighted fair order over teams.
  *
- * Each team has a virtual time: the slot time it used, divided by the slots it
- * is entitled to. The team with the smallest virtual time is next. A start is
+ * Each team has a virtual time: the slot time that it used in the pool, divided
+ * by its weight. The team with the smallest virtual time is next. A start is
  * charged with the mean run time of the pool and corrected when the work ends,
- * since declared run times may be far off.
+ * since declared run times may be far off. Running work on peers is charged as
+ * time passes, so that a team that gets more than its share on one member gets
+ * less on the others.
  */
 import { firstBy, rankOf, SharePolicy, type Charge, type PolicyView, type WaitingHead } from './share_policy';
 
@@ -14,9 +16,6 @@
 /** Waiting time after which a lower class gets its turns, in milliseconds. */
 const LOWER_CLASS_PATIENCE_MS = 1_000;
 
-/** Smallest number of slots in a division, for teams whose demand has only just been seen. */
-const LEAST_SLOTS = 0.1;
-
 /** Weight of the latest run time in the mean. */
 const RUN_TIME_GAIN = 0.05;
 
@@ -30,8 +29,10 @@
   private virtualNowMs = 0;
   private meanRunMs = FIRST_ESTIMATE_MS;
   private startsAboveLowerClass = 0;
+  private chargedUntilMs = 0;
 
   override select(view: PolicyView): WaitingHead {
+    this.chargePeers(view);
     this.activate(view.heads);
     const urgent = view.heads.filter(({ priority }) => priority === 'urgent');
     const others = view.heads.filter(({ priority }) => priority !== 'urgent');
@@ -44,13 +45,13 @@
   override started(head: WaitingHead, view: PolicyView): Charge {
     const best = Math.min(...view.heads.map(({ priority }) => rankOf(priority)));
     this.startsAboveLowerClass = rankOf(head.priority) > best ? 0 : this.startsAboveLowerClass + 1;
-    const slots = Math.max(LEAST_SLOTS, view.entitled(head.teamId));
-    this.add(head.teamId, this.meanRunMs / slots);
-    return { teamId: head.teamId, estimateMs: this.meanRunMs, slots };
+    const weight = view.weightOf(head.teamId);
+    this.add(head.teamId, this.meanRunMs / weight);
+    return { teamId: head.teamId, estimateMs: this.meanRunMs, weight };
   }
 
   override ended(charge: Charge, ranMs: number): void {
-    this.add(charge.teamId, (ranMs - charge.estimateMs) / charge.slots);
+    this.add(charge.teamId, (ranMs - charge.estimateMs) / charge.weight);
     this.meanRunMs += RUN_TIME_GAIN * (ranMs - this.meanRunMs);
   }
 
@@ -69,6 +70,16 @@
     return lower.some(({ sinceMs }) => nowMs - sinceMs >= LOWER_CLASS_PATIENCE_MS);
   }
 
+  /** Charges the teams that wait here with the slot time of their work on peers since the last call. */
+  private chargePeers(view: PolicyView): void {
+    const passedMs = view.nowMs - this.chargedUntilMs;
+    this.chargedUntilMs = view.nowMs;
+    if (passedMs === 0) return;
+    for (const teamId of this.active) {
+      this.add(teamId, (view.runningOnPeers(teamId) * passedMs) / view.weightOf(teamId));
+    }
+  }
+
   /** Keeps a team that had nothing waiting from saving up time. */
   private activate(heads: Heads): void {
     const teams = new Set(heads.map(({ teamId }) => teamId));
