Try to charge a start as if every peer made the same one

Cause: members see the same virtual times and start the same team until they hear of each other, which makes shares swing.

Change: a start is charged with the mean run time times the number of members and corrected when the work ends.

--- a/admission/weighted_fair.ts
+++ b/admission/weighted_fair.ts
@@ -46,8 +46,10 @@
     const best = Math.min(...view.heads.map(({ priority }) => rankOf(priority)));
     this.startsAboveLowerClass = rankOf(head.priority) > best ? 0 : this.startsAboveLowerClass + 1;
     const weight = view.weightOf(head.teamId);
-    this.add(head.teamId, this.meanRunMs / weight);
-    return { teamId: head.teamId, estimateMs: this.meanRunMs, weight };
+    // Peers see the same virtual times and start the same team before they hear of each other.
+    const estimateMs = this.meanRunMs * view.members;
+    this.add(head.teamId, estimateMs / weight);
+    return { teamId: head.teamId, estimateMs, weight };
   }
 
   override ended(charge: Charge, ranMs: number): void {
