--- a/admission/pool_line.ts
+++ b/admission/pool_line.ts
@@ -72,14 +72,7 @@
     const { nowMs, weightOf } = around;
     const runningOnPeers = (teamId: string): number =>
       [...around.peers.values()].reduce((sum, teams) => sum + (teams.get(teamId)?.running ?? 0), 0);
-    const view = {
-      nowMs,
-      heads,
-      slots: this.slots,
-      members: around.peers.size + 1,
-      weightOf,
-      runningOnPeers,
-    };
+    const view = { nowMs, heads, slots: this.slots, weightOf, runningOnPeers };
     const next = this.policy.select(view);
     if (next === null) return false;
     const charge = this.policy.started(next, view);
--- a/admission/share_policy.ts
+++ b/admission/share_policy.ts
@@ -17,8 +17,6 @@
   readonly heads: readonly [WaitingHead, ...WaitingHead[]];
   /** Slots that this member may fill. */
   readonly slots: number;
-  /** Members that fill the pool, this one included. */
-  readonly members: number;
   readonly weightOf: (teamId: string) => number;
   /** Running work of a team in this pool on all peers, as last reported. */
   readonly runningOnPeers: (teamId: string) => number;
--- a/admission/weighted_fair.ts
+++ b/admission/weighted_fair.ts
@@ -46,10 +46,8 @@
     const best = Math.min(...view.heads.map(({ priority }) => rankOf(priority)));
     this.startsAboveLowerClass = rankOf(head.priority) > best ? 0 : this.startsAboveLowerClass + 1;
     const weight = view.weightOf(head.teamId);
-    // Peers see the same virtual times and start the same team before they hear of each other.
-    const estimateMs = this.meanRunMs * view.members;
-    this.add(head.teamId, estimateMs / weight);
-    return { teamId: head.teamId, estimateMs, weight };
+    this.add(head.teamId, this.meanRunMs / weight);
+    return { teamId: head.teamId, estimateMs: this.meanRunMs, weight };
   }
 
   override ended(charge: Charge, ranMs: number): void {
