Give up a grant above the own part only when a peer is short

Cause: a member's part of a contended limit changes with every exchange, and each change made it return a little of its grant and ask for it again later.

Change: the part bounds what a member asks for and what it keeps when a peer asks; it no longer triggers returns by itself.

--- a/admission/grant_demand.ts
+++ b/admission/grant_demand.ts
@@ -51,8 +51,7 @@
   const base = Math.max(need, running);
   const most = Math.max(running, part);
   if (returnNow) return Math.min(held, most, base);
-  if (base > held) return Math.min(most, withHeadroom(base));
-  if (most < held) return most;
+  if (base > held) return Math.min(Math.max(held, most), withHeadroom(base));
   const enough = Math.max(base, withHeadroom(peakNeed));
   const excess = held - enough;
   return enough === 0 || excess > Math.max(LEAST_HEADROOM, held * HEADROOM) ? Math.min(held, enough) : held;
