Overfill a pool by at most a sixteenth while its division changes

Cause: a member fills a slot only if the running work that peers last reported leaves one free. When the division moves a slot from one member to another, it stood empty until the next exchange.

Change: the check allows a sixteenth of the slots, at least one, above the total; the parts themselves still add up to the slots. Property tests of the shares, of lending and of cancelled and late requests.

Seen failing: with teams in the order of arrival, the share and the lending test; with the turn of lower classes taken out, the flood test; with overdue and cancelled requests left in the queue, the test of late requests.

--- /dev/null
+++ b/admission/fair_shares_test.ts
@@ -0,0 +1,178 @@
+import fc from 'fast-check';
+import { FakeDeployment } from '../bench/fake_deployment';
+import { fakeFleet, fakeQueue } from '../bench/fake_fleet';
+import { exponential, seededRandom } from '../bench/seeded_random';
+import { settlePromises } from '../kernel/virtual_clock';
+import type { Priority } from '../model/fleet';
+import { Refusal } from '../model/refusal';
+import { WeightedFair } from './weighted_fair';
+
+const QUEUE = fakeQueue('q', 'p');
+const STEP_MS = 20;
+
+interface Source {
+  readonly teamId: string;
+  readonly shareWeight: number;
+  /** Requests kept waiting or running on each member. */
+  readonly backlog: readonly number[];
+  readonly meanRunMs: number;
+}
+
+/** Closed-loop load: every request that ends is followed by another one. */
+class ShareRun {
+  readonly deployment: FakeDeployment;
+  readonly usedMs = new Map<string, number>();
+  private readonly random: () => number;
+
+  constructor(sources: readonly Source[], workers: number, seed: number) {
+    this.random = seededRandom(seed);
+    const teams = sources.map(({ teamId, shareWeight }) => ({ teamId, shareWeight, upperLimit: 1_000 }));
+    const fleet = fakeFleet({
+      teams,
+      queues: [QUEUE],
+      workers: new Map([['p', workers]]),
+      slots: 8,
+      revision: 1,
+    });
+    const newPolicy = () => new WeightedFair();
+    this.deployment = new FakeDeployment({ members: 3, fleet, newPolicy, seed });
+    for (const source of sources) {
+      source.backlog.forEach((count, member) => {
+        for (let index = 0; index < count; index += 1) this.request(source, member, 'normal');
+      });
+    }
+  }
+
+  async advance(ms: number): Promise<void> {
+    for (let passedMs = 0; passedMs < ms; passedMs += STEP_MS) {
+      this.deployment.clock.advance(STEP_MS);
+      await settlePromises();
+    }
+  }
+
+  request(source: Source, member: number, priority: Priority, onStart?: () => void): void {
+    const { clock } = this.deployment;
+    const deadlineAtMs = clock.monotonicMs() + 600_000;
+    const { signal } = new AbortController();
+    const request = { requestId: 'r', teamId: source.teamId, queue: QUEUE, priority, deadlineAtMs, signal };
+    void this.deployment.members[member]?.admit(request).then((admission) => {
+      onStart?.();
+      const ranMs = exponential(this.random, source.meanRunMs);
+      clock.schedule(ranMs, () => {
+        this.usedMs.set(source.teamId, (this.usedMs.get(source.teamId) ?? 0) + ranMs);
+        admission.release();
+        if (onStart === undefined) this.request(source, member, priority);
+      });
+    });
+  }
+}
+
+describe('fair shares', () => {
+  test('with constant demand every team gets its weighted share of a full pool within 5%', async () => {
+    const source = fc.record({
+      shareWeight: fc.integer({ min: 1, max: 4 }),
+      backlog: fc.tuple(...[1, 2, 3].map(() => fc.integer({ min: 25, max: 60 }))),
+      meanRunMs: fc.constantFrom(400, 800, 1_500),
+    });
+    await fc.assert(
+      fc.asyncProperty(
+        fc.tuple(source, source, source),
+        fc.integer({ min: 1, max: 99 }),
+        async (parts, seed) => {
+          const sources = parts.map((part, index) => ({ ...part, teamId: `team-${index}` }));
+          const run = new ShareRun(sources, 6, seed);
+          await run.advance(5_000);
+          const before = new Map(run.usedMs);
+          await run.advance(60_000);
+          const used = sources.map(({ teamId }) => (run.usedMs.get(teamId) ?? 0) - (before.get(teamId) ?? 0));
+          const total = used.reduce((sum, ms) => sum + ms, 0);
+          const weights = sources.reduce((sum, { shareWeight }) => sum + shareWeight, 0);
+          sources.forEach(({ shareWeight }, index) => {
+            const due = (total * shareWeight) / weights;
+            expect((used[index] ?? 0) / due).toBeGreaterThan(0.95);
+          });
+          // The slots must not stand empty either.
+          expect(total / (48 * 60_000)).toBeGreaterThan(0.95);
+        },
+      ),
+      { numRuns: 5, seed: 20_261_204, endOnFailure: true },
+    );
+  }, 60_000);
+
+  test('a team alone gets the whole pool and gives the share of others back as its work ends', async () => {
+    const alone = { teamId: 'a', shareWeight: 1, backlog: [60, 60, 60], meanRunMs: 200 };
+    const late = { teamId: 'b', shareWeight: 3, backlog: [0, 0, 0], meanRunMs: 200 };
+    const run = new ShareRun([alone, late], 6, 5);
+    await run.advance(3_000);
+    const running = (teamId: string): number =>
+      run.deployment.members.reduce(
+        (sum, { service }) => sum + (service.gate.counts().get('p')?.get(teamId)?.running ?? 0),
+        0,
+      );
+    expect(running('a')).toBeGreaterThanOrEqual(46);
+    for (let index = 0; index < 180; index += 1) run.request(late, index % 3, 'normal');
+    // At first the late team catches up on what it missed before its peers heard of it.
+    await run.advance(5_000);
+    const seen: number[] = [];
+    for (let round = 0; round < 40; round += 1) {
+      await run.advance(100);
+      seen.push(running('b') / (running('a') + running('b')));
+      expect(running('a') + running('b')).toBeLessThanOrEqual(52);
+    }
+    const mean = seen.reduce((sum, part) => sum + part, 0) / seen.length;
+    expect(Math.abs(mean / 0.75 - 1)).toBeLessThanOrEqual(0.05);
+  });
+
+  test('batch work of a team starts under a flood of its own urgent work', async () => {
+    const flood = { teamId: 'a', shareWeight: 1, backlog: [0, 0, 0], meanRunMs: 200 };
+    const run = new ShareRun([flood], 1, 9);
+    let batchStarts = 0;
+    run.request(flood, 0, 'batch', () => (batchStarts += 1));
+    for (let round = 0; round < 100; round += 1) {
+      for (let index = 0; index < 12; index += 1) run.request(flood, index % 3, 'urgent', () => undefined);
+      if (round === 10) run.request(flood, 0, 'batch', () => (batchStarts += 1));
+      await run.advance(200);
+    }
+    expect(batchStarts).toBe(2);
+  });
+
+  test('a cancelled or late request never holds a slot', async () => {
+    const request = fc.record({
+      deadlineMs: fc.integer({ min: 0, max: 400 }),
+      cancelMs: fc.integer({ min: 0, max: 800 }),
+      runMs: fc.integer({ min: 1, max: 200 }),
+    });
+    await fc.assert(
+      fc.asyncProperty(fc.array(request, { minLength: 1, maxLength: 40 }), async (requests) => {
+        const run = new ShareRun([{ teamId: 'a', shareWeight: 1, backlog: [], meanRunMs: 1 }], 1, 3);
+        const { clock, members } = run.deployment;
+        await run.advance(1_000);
+        const outcomes = requests.map(async ({ deadlineMs, cancelMs, runMs }, index) => {
+          const abort = new AbortController();
+          clock.schedule(cancelMs, () => {
+            abort.abort();
+          });
+          const deadlineAtMs = clock.monotonicMs() + deadlineMs;
+          const base = { requestId: 'r', teamId: 'a', queue: QUEUE, priority: 'normal' as const };
+          try {
+            const admission = await members[index % 3]?.admit({
+              ...base,
+              deadlineAtMs,
+              signal: abort.signal,
+            });
+            expect(clock.monotonicMs() - STEP_MS).toBeLessThan(deadlineAtMs);
+            clock.schedule(runMs, () => admission?.release());
+          } catch (error) {
+            expect(error).toBeInstanceOf(Refusal);
+            expect((error as Refusal).outcome).toBe('not_run');
+          }
+        });
+        await run.advance(2_000);
+        await Promise.all(outcomes);
+        for (const { service } of members) expect(service.gate.counts().size).toBe(0);
+        for (const { service } of members) expect(service.keeper.snapshot().get('a')?.running ?? 0).toBe(0);
+      }),
+      { numRuns: 15, seed: 20_261_204, endOnFailure: true },
+    );
+  }, 60_000);
+});
--- a/admission/pool_line.ts
+++ b/admission/pool_line.ts
@@ -7,6 +7,12 @@
 /** Age at which the division of the slots is computed again, in milliseconds. */
 const SHARE_AGE_MS = 100;
 
+/**
+ * Part of the slots by which a pool may be overfilled while the division
+ * changes; without it, slots stand empty until the next exchange.
+ */
+const TRANSITION_PART = 1 / 16;
+
 /** A waiting request and what settles it. */
 export interface LineItem {
   readonly request: AdmissionRequest;
@@ -96,7 +102,9 @@
   private hasFreeSlot(around: LineSurroundings): boolean {
     if (this.totalRunning >= this.slots) return false;
     const ofPeers = [...around.peers.values()].reduce((sum, teams) => sum + runningOf(teams), 0);
-    return this.totalRunning + ofPeers < around.slots;
+    return (
+      this.totalRunning + ofPeers < around.slots + Math.max(1, Math.floor(around.slots * TRANSITION_PART))
+    );
   }
 
   private updateShare(around: LineSurroundings): void {
