Divide slots on the counts that peers know, and keep claims over short pauses

Cause: each member divided the slots with its own newest counts and the older ones of its peers, so that at the start of a burst every member counted on the same slots: up to 20 requests ran above the 56 or so slots of a pool. A team whose queue on one member was empty for a moment lost its claim there.

Change: the division uses the counts last sent to peers. A team keeps its virtual time while it has had nothing waiting for at most 2 s.

--- a/admission/admission_service.ts
+++ b/admission/admission_service.ts
@@ -55,6 +55,7 @@
       ...options,
       keeper: this.keeper,
       peers: () => this.demand.peers(),
+      published: () => this.demand.published(),
       peerIds: () => this.peerIds(),
     });
     options.exchange.addSection(this.demand);
--- a/admission/demand_section.ts
+++ b/admission/demand_section.ts
@@ -53,13 +53,15 @@
   override readonly name = 'demand';
   private readonly sent = new Map<string, Sent>();
   private readonly received = new Map<string, Received>();
+  private lastOwn: PoolCounts = new Map();
 
   constructor(private readonly options: DemandSectionOptions) {
     super();
   }
 
   override outgoing(peer: PeerIdentity): unknown {
-    const own = flatten(this.options.own());
+    this.lastOwn = this.options.own();
+    const own = flatten(this.lastOwn);
     const previous = this.sent.get(peer.incarnation);
     const changed = changedCounts(previous?.counts ?? new Map(), own).slice(0, MOST_COUNTS_PER_MESSAGE);
     const sequence = (previous?.sequence ?? 0) + 1;
@@ -106,6 +108,11 @@
     }
   }
 
+  /** The counts of this member as peers know them. */
+  published(): PoolCounts {
+    return this.lastOwn;
+  }
+
   /** Last counts of every live peer. */
   peers(): ReadonlyMap<string, PoolCounts> {
     return new Map([...this.received.values()].map(({ memberId, byPool }) => [memberId, byPool]));
--- a/admission/fair_admission_gate.ts
+++ b/admission/fair_admission_gate.ts
@@ -33,6 +33,8 @@
   readonly keeper: GrantKeeper;
   /** Last counts of every live peer. */
   readonly peers: () => ReadonlyMap<string, PoolCounts>;
+  /** The counts of this member as its peers know them. */
+  readonly published: () => PoolCounts;
   /** Live members other than this one, heard from or not. */
   readonly peerIds: () => readonly string[];
   readonly newPolicy: () => SharePolicy;
@@ -189,7 +191,7 @@
   }
 
   private surroundings(poolId: string): LineSurroundings {
-    const { clock, keeper, memberId, peers, peerIds, fleet } = this.options;
+    const { clock, keeper, memberId, peers, peerIds, published, fleet } = this.options;
     const { teams } = fleet();
     const reported = peers();
     const inPool = (peerId: string): TeamCounts => reported.get(peerId)?.get(poolId) ?? new Map();
@@ -198,6 +200,7 @@
       selfId: memberId,
       slots: this.slots(poolId),
       peers: new Map(peerIds().map((peerId) => [peerId, inPool(peerId)])),
+      published: published().get(poolId) ?? new Map(),
       weightOf: (teamId) => teams.get(teamId)?.shareWeight ?? NO_TEAM_WEIGHT,
       limitOf: (teamId) =>
         teamId === NO_TEAM ? Number.POSITIVE_INFINITY : (teams.get(teamId)?.upperLimit ?? 0),
--- a/admission/pool_line.ts
+++ b/admission/pool_line.ts
@@ -34,6 +34,11 @@
   readonly selfId: string;
   /** Last counts of the live peers in this pool. */
   readonly peers: ReadonlyMap<string, TeamCounts>;
+  /**
+   * Counts of this member as its peers know them: with newer ones, each member
+   * would count on slots that the others count on as well.
+   */
+  readonly published: TeamCounts;
   readonly mayStart: (teamId: string) => boolean;
 };
 
@@ -110,7 +115,7 @@
   private updateShare(around: LineSurroundings): void {
     if (around.nowMs < this.shareUntilMs) return;
     this.shareUntilMs = around.nowMs + SHARE_AGE_MS;
-    const members = new Map([...around.peers, [around.selfId, this.counts()]]);
+    const members = new Map([...around.peers, [around.selfId, around.published]]);
     this.slots = shareSlots({ ...around, members });
   }
 
--- a/admission/weighted_fair.ts
+++ b/admission/weighted_fair.ts
@@ -16,6 +16,13 @@
 /** Waiting time after which a lower class gets its turns, in milliseconds. */
 const LOWER_CLASS_PATIENCE_MS = 1_000;
 
+/**
+ * A team that has nothing waiting here for no longer than this keeps its claim,
+ * in milliseconds: a small team's queue on one of several members is often
+ * empty for a moment although the team waits elsewhere.
+ */
+const PAUSE_MS = 2_000;
+
 /** Weight of the latest run time in the mean. */
 const RUN_TIME_GAIN = 0.05;
 
@@ -25,7 +32,8 @@
 
 export class WeightedFair extends SharePolicy {
   private readonly virtualMs = new Map<string, number>();
-  private active: ReadonlySet<string> = new Set();
+  /** When a team last had something waiting here. */
+  private lastWaitingMs: ReadonlyMap<string, number> = new Map();
   private virtualNowMs = 0;
   private meanRunMs = FIRST_ESTIMATE_MS;
   private startsAboveLowerClass = 0;
@@ -33,7 +41,7 @@
 
   override select(view: PolicyView): WaitingHead {
     this.chargePeers(view);
-    this.activate(view.heads);
+    this.activate(view.heads, view.nowMs);
     const urgent = view.heads.filter(({ priority }) => priority === 'urgent');
     const others = view.heads.filter(({ priority }) => priority !== 'urgent');
     if (isFilled(urgent) && isFilled(others)) {
@@ -75,19 +83,20 @@
     const passedMs = view.nowMs - this.chargedUntilMs;
     this.chargedUntilMs = view.nowMs;
     if (passedMs === 0) return;
-    for (const teamId of this.active) {
+    for (const teamId of this.lastWaitingMs.keys()) {
       this.add(teamId, (view.runningOnPeers(teamId) * passedMs) / view.weightOf(teamId));
     }
   }
 
-  /** Keeps a team that had nothing waiting from saving up time. */
-  private activate(heads: Heads): void {
+  /** Keeps a team that asked for nothing from saving up time. */
+  private activate(heads: Heads, nowMs: number): void {
     const teams = new Set(heads.map(({ teamId }) => teamId));
     for (const teamId of teams) {
-      if (this.active.has(teamId)) continue;
+      if (nowMs - (this.lastWaitingMs.get(teamId) ?? Number.NEGATIVE_INFINITY) <= PAUSE_MS) continue;
       this.virtualMs.set(teamId, Math.max(this.virtualMs.get(teamId) ?? 0, this.virtualNowMs));
     }
-    this.active = teams;
+    const recent = [...this.lastWaitingMs].filter(([, atMs]) => nowMs - atMs <= PAUSE_MS);
+    this.lastWaitingMs = new Map([...recent, ...[...teams].map((teamId) => [teamId, nowMs] as const)]);
     this.virtualNowMs = Math.max(this.virtualNowMs, Math.min(...heads.map((head) => this.timeOf(head))));
   }
 
