--- a/bench/bench_main.ts
+++ b/bench/bench_main.ts
@@ -5,7 +5,6 @@
 import { StrictPriority } from '../admission/strict_priority';
 import { WeightedFair } from '../admission/weighted_fair';
 import { BENCH_DEPLOYMENTS, type BenchDeployment } from './deployments';
-import { LeastSlack } from './least_slack';
 import { policyTable, type PolicyRow } from './policy_table';
 import { simulate } from './simulation';
 import { StaticPools } from './static_pools';
@@ -22,7 +21,6 @@
   { name: 'first come first served', create: () => new FirstComeFirstServed() },
   { name: 'strict priority', create: () => new StrictPriority() },
   { name: 'static pools', create: ({ accounts }) => new StaticPools(weightsOf(accounts)) },
-  { name: 'least slack within a class', create: () => new LeastSlack() },
   { name: 'weighted fair (the project)', create: () => new WeightedFair() },
 ];
 
