--- a/telemetry/events_catalogue.ts
+++ b/telemetry/events_catalogue.ts
@@ -28,4 +28,10 @@
   workerSuspended: logEvent(704, 'worker taken out of placement'),
   batchWorkPreempted: logEvent(705, 'batch work preempted'),
   placementFailed: logEvent(706, 'placement step failed'),
+  memberRegistered: logEvent(500, 'member registered'),
+  memberActive: logEvent(501, 'member active'),
+  memberFenced: logEvent(502, 'member fenced'),
+  registrationLost: logEvent(503, 'registration lost'),
+  memberIdInUse: logEvent(504, 'member id in use'),
+  fenceWithheld: logEvent(505, 'fence withheld'),
 } as const satisfies Record<string, LogEvent>;
