--- a/config/change_log.ts
+++ b/config/change_log.ts
@@ -13,6 +13,7 @@
   type Write,
 } from '../platform/table_service';
 import {
+  applyChange,
   applyChanges,
   changeKey,
   loadState,
