Read the byte counters of the peer protocol by their names

Cause: the entry path measurement read counters that do not exist and printed 0 B/s for peers. Change: the names of the counters.

--- a/bench/entry_path_main.ts
+++ b/bench/entry_path_main.ts
@@ -59,7 +59,7 @@
   );
   return answers.map(({ body }) => {
     const counters = body.counters as Readonly<Record<string, number>>;
-    const peerBytes = (counters['peers.bytes_sent'] ?? 0) + (counters['peers.bytes_received'] ?? 0);
+    const peerBytes = (counters['peers.sent_bytes'] ?? 0) + (counters['peers.received_bytes'] ?? 0);
     return { usage: body.process as ProcessUsage, peerBytes };
   });
 }
