--- a/demo/deployment.ts
+++ b/demo/deployment.ts
@@ -4,6 +4,7 @@
 import { ManagedProcess } from './child_process';
 
 const ROOT = join(__dirname, '..');
+const DEFAULT_REBOOT_MS = 3_000;
 export const OPERATOR_TOKEN = 'operator-token-of-the-demo';
 
 export interface DeploymentOptions {
@@ -11,6 +12,8 @@
   readonly workers: number;
   /** Time that a worker takes for a request, in milliseconds. */
   readonly serviceMs: number;
+  /** Time that an instance takes to reboot, in milliseconds. */
+  readonly rebootMs?: number;
 }
 
 export interface JsonAnswer {
@@ -20,7 +23,7 @@
 }
 
 /**
- * Runs the table service stand-in, workers and entry instances.
+ * Runs the stand-ins of the table service and the platform, workers and entry instances.
  *
  * @example
  * ```ts
@@ -32,12 +35,17 @@
 export class Deployment {
   private constructor(
     readonly table: ManagedProcess,
+    readonly platform: ManagedProcess,
     readonly workers: readonly ManagedProcess[],
     readonly entries: readonly ManagedProcess[],
   ) {}
 
   static async start(options: DeploymentOptions): Promise<Deployment> {
     const table = await startStandin('table_main.js', []);
+    const platform = await startStandin('platform_main.js', [
+      '--reboot-ms',
+      String(options.rebootMs ?? DEFAULT_REBOOT_MS),
+    ]);
     const workers = await Promise.all(
       Array.from({ length: options.workers }, (_, index) =>
         startStandin('worker_main.js', [
@@ -48,10 +56,15 @@
         ]),
       ),
     );
+    await sendJson(`http://127.0.0.1:${platform.port('port')}/instances`, 'POST', '', {
+      instanceIds: workers.map((_, index) => `worker-${index + 1}`),
+    });
     const entries = await Promise.all(
-      Array.from({ length: options.entryInstances }, (_, index) => startEntry(index + 1, table.port('port'))),
+      Array.from({ length: options.entryInstances }, (_, index) =>
+        startEntry(index + 1, table.port('port'), platform.port('port')),
+      ),
     );
-    return new Deployment(table, workers, entries);
+    return new Deployment(table, platform, workers, entries);
   }
 
   /** Sends a ticket through the first entry instance; resolves once it is in effect. */
@@ -70,7 +83,7 @@
   /** Stops everything; resolves with the exit codes of the entry instances. */
   async stop(): Promise<readonly (number | null)[]> {
     const codes = await Promise.all(this.entries.map((entry) => entry.stop()));
-    await Promise.all([...this.workers, this.table].map((standin) => standin.stop('SIGKILL')));
+    await Promise.all([...this.workers, this.platform, this.table].map((standin) => standin.stop('SIGKILL')));
     return codes;
   }
 
@@ -106,7 +119,7 @@
   });
 }
 
-function startEntry(number: number, tablePort: number): Promise<ManagedProcess> {
+function startEntry(number: number, tablePort: number, platformPort: number): Promise<ManagedProcess> {
   const flags = {
     'member-id': `entry-${number}`,
     'availability-zone': `zone-${((number - 1) % 3) + 1}`,
@@ -114,7 +127,7 @@
     'operator-port': '0',
     'peer-port': '0',
     'table-url': `http://127.0.0.1:${tablePort}`,
-    'platform-url': `http://127.0.0.1:${tablePort}`,
+    'platform-url': `http://127.0.0.1:${platformPort}`,
     'operator-token': OPERATOR_TOKEN,
     'balancer-grace-ms': '200',
   };
