Refuse ambiguous tickets and show the difference in a dry run

Cause: two keys with one secret left open for which team work runs, and one machine could be entered under two ids and so be in two pools. A dry run named objects only.

Change: both are problems of a ticket; a dry run lists the fields that would change, before and after.

Before: the tests for "one machine under two ids" and "one secret for two keys" failed (the ticket was accepted).

Conclusion: an accepted ticket leaves no doubt about owner or pool.

--- a/cli/run_command.ts
+++ b/cli/run_command.ts
@@ -29,9 +29,15 @@
   return match(command)
     .with({ kind: 'list' }, ({ listing }) => renderTable(asRows(answer[listing])))
     .with({ kind: 'list_tickets' }, () => renderTable(asRows(answer.tickets)))
+    .with({ kind: 'apply' }, () => renderTicketResult(answer))
     .otherwise(() => renderFields(answer));
 }
 
+function renderTicketResult({ differences, ...result }: Readonly<Record<string, unknown>>): string {
+  const fields = renderFields(result);
+  return differences === undefined ? fields : `${fields}\n${renderTable(asRows(differences))}`;
+}
+
 function asRows(value: unknown): readonly Readonly<Record<string, unknown>>[] {
   return Array.isArray(value) ? (value as readonly Readonly<Record<string, unknown>>[]) : [];
 }
--- a/config/ticket_plan.ts
+++ b/config/ticket_plan.ts
@@ -95,6 +95,7 @@
     if (!fleet.teams.has(teamId)) problems.push(`${owner} names the team ${teamId}, which does not exist.`);
   };
   for (const key of fleet.keys.values()) needTeam(`Key ${key.keyId}`, key.teamId);
+  problems.push(...sharedKeys(fleet), ...sharedAddresses(fleet));
   for (const queue of fleet.queues.values()) {
     needPool(`Queue ${queue.queueId}`, queue.poolId);
     for (const teamId of queue.teamIds) needTeam(`Queue ${queue.queueId}`, teamId);
@@ -112,3 +113,30 @@
   }
   return problems;
 }
+
+/** One secret must not stand for two keys: it would be open for which team it runs work. */
+function sharedKeys(fleet: FleetConfiguration): readonly string[] {
+  const keys = [...fleet.keys.values()];
+  return repeated(keys, ({ keyHashHex }) => keyHashHex).map(
+    ([first, second]) => `Keys ${first.keyId} and ${second.keyId} have the same hash.`,
+  );
+}
+
+/** One machine under two ids could be in two pools. */
+function sharedAddresses(fleet: FleetConfiguration): readonly string[] {
+  const instances = [...fleet.instances.values()];
+  return repeated(instances, ({ host, port }) => `${host}:${port}`).map(
+    ([first, second]) => `Instances ${first.instanceId} and ${second.instanceId} have the same address.`,
+  );
+}
+
+/** Each item whose value an earlier one has, after that earlier one. */
+function repeated<T>(items: readonly T[], valueOf: (item: T) => string): readonly (readonly [T, T])[] {
+  const firstByValue = new Map<string, T>();
+  return items.flatMap((item): readonly (readonly [T, T])[] => {
+    const first = firstByValue.get(valueOf(item));
+    if (first !== undefined) return [[first, item]];
+    firstByValue.set(valueOf(item), item);
+    return [];
+  });
+}
--- a/config/ticket_service.ts
+++ b/config/ticket_service.ts
@@ -7,6 +7,7 @@
 import { TableOutcomeUnknownError, type Row, type TableService } from '../platform/table_service';
 import type { ConfigurationService } from './configuration_service';
 import type { Change, ConfigurationState } from './change';
+import { ticketDifferences, type FieldDifference } from './ticket_difference';
 import { planTicket } from './ticket_plan';
 
 /** Attempts against operators who keep changing the head first. */
@@ -21,6 +22,8 @@
   readonly superseded: readonly string[];
   /** Objects that the ticket sets or removes, as `kind/id`. */
   readonly changed: readonly string[];
+  /** With a dry run, the fields that would change. */
+  readonly differences?: readonly FieldDifference[];
 }
 
 export interface TicketServiceOptions {
@@ -36,7 +39,8 @@
   /** Shows what a ticket would change. Throws `Refusal` if the ticket is not valid. */
   dryRun(ticket: Ticket): TicketResult {
     const plan = this.plan(this.options.configuration.state(), ticket);
-    return { number: ticket.number, status: 'dry_run', ...describe(plan) };
+    const differences = ticketDifferences(this.options.configuration.state(), plan.change);
+    return { number: ticket.number, status: 'dry_run', ...describe(plan), differences };
   }
 
   /**
