--- a/bench/slopes_main.ts
+++ b/bench/slopes_main.ts
@@ -1,5 +1,6 @@
 /** Measures how costs grow with the size of the fleet; docs/CAPACITY.md is worked out from the result. */
 import { parseArgs } from 'node:util';
+import { ADMISSION_SLOPES } from './_admission_slopes';
 import { CONFIGURATION_SLOPES } from './_configuration_slopes';
 import type { SlopeResult } from './_slope';
 
@@ -11,5 +12,5 @@
   return `${result.name}\n  ${points}\n  ${slope}\n`;
 }
 
-const results = CONFIGURATION_SLOPES.map((slope) => slope.run());
+const results = [...CONFIGURATION_SLOPES, ...ADMISSION_SLOPES].map((slope) => slope.run());
 process.stdout.write(values.json ? `${JSON.stringify(results, null, 2)}\n` : results.map(describe).join(''));
