Make attempts with a known outcome, retries and claims

Cause: a request was sent once to a random serving instance, and every failure other than a refused connection or connect timeout read "may have run". Idempotency keys were not honoured, cut chunked answers reached the caller through a web stream whose error path in the HTTP adapter may end the response regularly, and leaving or failing targets were not avoided.

Change: an attempt follows undici's dispatch handler; what is refused in the turn of the first byte surely did not run. Attempt ids, lengths and ends are checked; connections with an overdue, cut or mismatched answer are destroyed. Retries have a policy and a budget; targets have leaving marks from the platform's list, refused connections and peers, a load and an ejection for outliers. Requests with an idempotency key are claimed in the table before dispatch and their answers recorded. Answers go to callers through node streams, so that a cut answer destroys the caller's connection. The worker stand-in has slots, faults, a boot id and a log of executions.

--- a/dispatch/dispatch_plugin.ts
+++ b/dispatch/dispatch_plugin.ts
@@ -1,24 +1,96 @@
-/** Provides the dispatcher. */
-import { CONFIGURATION } from '../config/configuration_service';
+/** Provides the dispatcher, the claims and the counts of work in flight. */
+import { CONFIGURATION, CONFIGURATION_CHANGED } from '../config/configuration_service';
 import type { Kernel } from '../kernel/kernel';
 import { Plugin } from '../kernel/plugin';
 import { pluginRegistry } from '../kernel/plugin_registry';
-import { DISPATCHER } from './dispatcher';
-import { PoolDispatcher } from './pool_dispatcher';
+import { MEMBERSHIP } from '../membership/membership';
+import { PEER_EXCHANGE } from '../peers/exchange';
+import { INSTANCE_LIST } from '../platform/instance_list';
+import { TABLE } from '../platform/platform_plugin';
+import { COUNTERS, LOGGER, SETTINGS } from '../settings/base_capabilities';
+import { ClaimSweep } from './claim_sweep';
+import { CLAIMS, Claims } from './claims';
+import { DISPATCHER, IN_FLIGHT_WORK } from './dispatcher';
+import { FleetDispatcher } from './fleet_dispatcher';
+import { InstanceListPoller } from './instance_list_poller';
+import { LeavingMarks } from './leaving_marks';
+import { LeavingSection } from './leaving_section';
+import { TargetTable } from './target_table';
+import { UndiciTransport } from './undici_transport';
+
+/** Time that records of answers get at shutdown while the table does not answer, in milliseconds. */
+const RECORD_LIMIT_MS = 2_000;
+
+interface Parts {
+  readonly transport: UndiciTransport;
+  readonly poller: InstanceListPoller;
+  readonly claims: Claims;
+  readonly sweep: ClaimSweep;
+}
 
 class DispatchPlugin extends Plugin {
   override readonly name = 'dispatch';
-  override readonly requires = ['config'];
-  private dispatcher: PoolDispatcher | null = null;
+  override readonly requires = ['platform', 'config', 'membership', 'peers'];
+  private parts: Parts | null = null;
 
   override setUp(kernel: Kernel): void {
+    const { clock } = kernel;
+    const common = { clock, counters: kernel.use(COUNTERS), logger: kernel.use(LOGGER) };
+    const marks = new LeavingMarks();
+    const transport = new UndiciTransport(common);
+    this.setUpDispatcher(kernel, marks, transport);
+    kernel.use(PEER_EXCHANGE).addSection(new LeavingSection({ ...common, marks }));
+    const table = kernel.use(TABLE);
+    const claims = new Claims({ ...common, table, membership: kernel.use(MEMBERSHIP) });
+    kernel.provide(CLAIMS, claims);
     const configuration = kernel.use(CONFIGURATION);
-    this.dispatcher = new PoolDispatcher({ clock: kernel.clock, fleet: () => configuration.fleet() });
-    kernel.provide(DISPATCHER, this.dispatcher);
+    const teamIds = (): readonly string[] => [...configuration.fleet().teams.keys()];
+    this.parts = {
+      transport,
+      poller: new InstanceListPoller({ ...common, list: kernel.use(INSTANCE_LIST), marks }),
+      claims,
+      sweep: new ClaimSweep({ ...common, table, teamIds, random: Math.random }),
+    };
+  }
+
+  override async start(): Promise<void> {
+    await this.parts?.poller.start();
+    this.parts?.sweep.start();
   }
 
   override async stop(): Promise<void> {
-    await this.dispatcher?.close();
+    this.parts?.poller.stop();
+    this.parts?.sweep.stop();
+    await this.parts?.claims.stop(RECORD_LIMIT_MS);
+    await this.parts?.transport.close();
+  }
+
+  private setUpDispatcher(kernel: Kernel, marks: LeavingMarks, transport: UndiciTransport): void {
+    const configuration = kernel.use(CONFIGURATION);
+    const membership = kernel.use(MEMBERSHIP);
+    const table = new TargetTable({
+      fleet: () => configuration.fleet(),
+      marks,
+      availabilityZone: kernel.use(SETTINGS).availabilityZone,
+      entryInstances: () => membership.registered().length,
+      random: Math.random,
+    });
+    kernel.provide(IN_FLIGHT_WORK, table);
+    const dispatcher = new FleetDispatcher({
+      clock: kernel.clock,
+      transport,
+      table,
+      marks,
+      counters: kernel.use(COUNTERS),
+      logger: kernel.use(LOGGER),
+      random: Math.random,
+    });
+    kernel.provide(DISPATCHER, dispatcher);
+    kernel.events.subscribe(CONFIGURATION_CHANGED, () => {
+      const { instances } = configuration.fleet();
+      transport.retainOnly([...instances.values()]);
+      marks.retainOnly((instanceId) => instances.has(instanceId));
+    });
   }
 }
 
--- a/dispatch/dispatcher.ts
+++ b/dispatch/dispatcher.ts
@@ -15,17 +15,30 @@
   readonly headers: Headers;
   readonly body: Buffer | null;
   readonly idempotent: boolean;
-  /** On the local monotonic clock, in milliseconds. */
+  /** The head of the answer must have arrived by then, on the local monotonic clock, in milliseconds. */
   readonly deadlineAtMs: number;
+  /** The whole answer must have arrived by then, on the local monotonic clock, in milliseconds. */
+  readonly endByMs: number;
   readonly signal: AbortSignal;
+  /** Runs in the turn that hands the first byte of an attempt to a connection; throws `Refusal` to prevent it. */
+  readonly beforeSend: () => void;
 }
 
+/**
+ * `complete`: the target has sent its whole answer. `cut`: the target ended it
+ * early. `abandoned`: the reader gave it up or it took too long. After the
+ * last two, work may go on at the target.
+ */
+export type AnswerEnd = 'complete' | 'cut' | 'abandoned';
+
 /** The answer of a target; a body that ends early emits an error, never a regular end. */
 export interface TargetAnswer {
   readonly status: number;
   readonly headers: Headers;
   readonly body: Readable;
   readonly instanceId: string;
+  /** Resolves when the target's side of the answer has ended, which may be before the caller has read it. */
+  readonly ended: Promise<AnswerEnd>;
 }
 
 /** Picks targets, makes attempts and retries those that surely did not run. */
@@ -34,4 +47,12 @@
   abstract dispatch(request: DispatchRequest): Promise<TargetAnswer>;
 }
 
+/** Work of this entry instance that runs or may run at targets. */
+export abstract class InFlightWork {
+  /** Attempts that are open, and those that may go on at the target although their connection is gone. */
+  abstract inFlight(instanceId: string): number;
+}
+
+export const IN_FLIGHT_WORK = capability<InFlightWork>('dispatch.in_flight_work');
+
 export const DISPATCHER = capability<Dispatcher>('dispatch.dispatcher');
--- /dev/null
+++ b/entry/answer_recorder.ts
@@ -0,0 +1,59 @@
+/** Passes an answer on to the caller while it is recorded for later requests with the same key. */
+import { PassThrough, type Readable } from 'node:stream';
+import { MAX_RECORDED_BYTES } from '../dispatch/claim_record';
+import type { HeldClaim } from '../dispatch/claims';
+import type { Headers, TargetAnswer } from '../dispatch/dispatcher';
+
+/** Returns the body for the caller. The answer is read to its end even if the caller goes away. */
+export function recordAnswer(answer: TargetAnswer, claim: HeldClaim): Readable {
+  const source = answer.body;
+  const output = new PassThrough();
+  // The caller may be gone; the record goes on.
+  output.on('error', () => undefined);
+  const kept = new KeptBody();
+  let isComplete = false;
+  source.on('data', (chunk: Buffer) => {
+    kept.append(chunk);
+    if (!output.destroyed && !output.write(chunk)) source.pause();
+  });
+  output.on('drain', () => source.resume());
+  output.on('close', () => source.resume());
+  source.once('end', () => {
+    isComplete = true;
+    const bodyBase64 = kept.base64();
+    claim.complete(bodyBase64 === null ? null : { ...recordedHead(answer), bodyBase64 });
+    output.end();
+  });
+  source.once('close', () => {
+    if (isComplete) return;
+    claim.leaveUnknown();
+    output.destroy(source.errored ?? new Error('The answer ended early.'));
+  });
+  return output;
+}
+
+/** Collects a body up to the size that is recorded. */
+class KeptBody {
+  private chunks: readonly Buffer[] = [];
+  private lengthBytes = 0;
+
+  append(chunk: Buffer): void {
+    this.lengthBytes += chunk.byteLength;
+    this.chunks = this.lengthBytes <= MAX_RECORDED_BYTES ? [...this.chunks, chunk] : [];
+  }
+
+  /** `null` if the body is too large. */
+  base64(): string | null {
+    return this.lengthBytes <= MAX_RECORDED_BYTES ? Buffer.concat(this.chunks).toString('base64') : null;
+  }
+}
+
+function recordedHead(answer: TargetAnswer): { status: number; headers: Record<string, string | string[]> } {
+  return { status: answer.status, headers: copyHeaders(answer.headers) };
+}
+
+function copyHeaders(headers: Headers): Record<string, string | string[]> {
+  return Object.fromEntries(
+    Object.entries(headers).map(([name, value]) => [name, typeof value === 'string' ? value : [...value]]),
+  );
+}
--- a/entry/caller_api.ts
+++ b/entry/caller_api.ts
@@ -1,5 +1,6 @@
 /** The HTTP interface for callers. */
-import { Readable } from 'node:stream';
+import type { HttpBindings } from '@hono/node-server';
+import { RESPONSE_ALREADY_SENT } from '@hono/node-server/utils/response';
 import { Hono, type Context } from 'hono';
 import { z } from 'zod';
 import type { Headers as HeaderMap } from '../dispatch/dispatcher';
@@ -11,17 +12,19 @@
 import { problemResponse, toRefusal } from './problem';
 import { readBody } from './request_body';
 import type { CallerRequest, RequestFlow } from './request_flow';
+import { sendAnswer } from './send_answer';
 
 /** A caller that has not sent its whole body by then is refused. */
 const BODY_TIMEOUT_MS = 10_000;
 
+/** Headers that are for this system begin like this. */
+const OWN_HEADER_PREFIX = 'endivestand-';
+
 /** Headers that belong to one connection (RFC 9110, section 7.6.1) or to this system. */
 const UNFORWARDED_HEADERS: ReadonlySet<string> = new Set([
   'authorization',
   'connection',
   'content-length',
-  'endivestand-deadline-ms',
-  'endivestand-priority',
   'expect',
   'host',
   'keep-alive',
@@ -50,14 +53,15 @@
   readonly maxBodyBytes: number;
 }
 
-/** Routes of the callers API. */
-export function callerApi(options: CallerApiOptions): Hono {
-  const app = new Hono();
+/** Routes of the callers API, for a server that offers node's request and response as bindings. */
+export function callerApi(options: CallerApiOptions): Hono<{ Bindings: HttpBindings }> {
+  const app = new Hono<{ Bindings: HttpBindings }>();
   app.all('/v1/queues/:queueId/*', async (context) => {
     const request = await decodeRequest(context, options);
     const answer = await options.flow.handle(request);
     options.counters.increment('requests.answered');
-    return toResponse(answer.status, answer.headers, answer.body);
+    sendAnswer(context.env.outgoing, context.req.raw.method, answer);
+    return RESPONSE_ALREADY_SENT;
   });
   app.onError((error) => {
     const refusal = toRefusal(error);
@@ -99,21 +103,9 @@
 }
 
 function forwardedHeaders(headers: Headers): HeaderMap {
-  return Object.fromEntries([...headers].filter(([name]) => !UNFORWARDED_HEADERS.has(name)));
-}
-
-function toResponse(status: number, headers: HeaderMap, body: Readable): Response {
-  const target = new Headers();
-  for (const [name, value] of Object.entries(headers)) {
-    if (name === 'connection' || name === 'keep-alive' || name === 'transfer-encoding') continue;
-    for (const item of typeof value === 'string' ? [value] : value) target.append(name, item);
-  }
-  const hasBody = status !== 204 && status !== 304;
-  if (!hasBody) body.resume();
-  return new Response(hasBody ? (Readable.toWeb(body) as ReadableStream<Uint8Array>) : null, {
-    status,
-    headers: target,
-  });
+  return Object.fromEntries(
+    [...headers].filter(([name]) => !UNFORWARDED_HEADERS.has(name) && !name.startsWith(OWN_HEADER_PREFIX)),
+  );
 }
 
 function causeOf(error: unknown): string {
--- a/entry/entry_plugin.ts
+++ b/entry/entry_plugin.ts
@@ -2,6 +2,7 @@
 import { ADMISSION } from '../admission/admission_gate';
 import { CONFIGURATION } from '../config/configuration_service';
 import { TicketService } from '../config/ticket_service';
+import { CLAIMS } from '../dispatch/claims';
 import { DISPATCHER } from '../dispatch/dispatcher';
 import type { Kernel } from '../kernel/kernel';
 import { Plugin } from '../kernel/plugin';
@@ -30,6 +31,7 @@
       configuration: kernel.use(CONFIGURATION),
       admission: kernel.use(ADMISSION),
       dispatcher: kernel.use(DISPATCHER),
+      claims: kernel.use(CLAIMS),
     });
     kernel.provide(REQUEST_FLOW, flow);
     kernel.provide(READINESS, this.readiness);
--- a/entry/http_server.ts
+++ b/entry/http_server.ts
@@ -1,6 +1,6 @@
 /** HTTP listener for a hono application. */
 import { createServer, type Server } from 'node:http';
-import { getRequestListener } from '@hono/node-server';
+import { getRequestListener, type HttpBindings } from '@hono/node-server';
 import type { Hono } from 'hono';
 
 /** Limits against slow and oversized requests. */
@@ -8,11 +8,16 @@
 const HEADERS_TIMEOUT_MS = 10_000;
 const KEEP_ALIVE_TIMEOUT_MS = 5_000;
 
+/** A connection whose caller has not taken its answer this long after the server closed is ended, in milliseconds. */
+const CLOSE_LIMIT_MS = 60_000;
+
 export interface HttpServerOptions {
-  readonly app: Hono;
+  readonly app: Hono | Hono<{ Bindings: HttpBindings }>;
   readonly host: string;
   /** 0 lets the system choose. */
   readonly port: number;
+  /** Connections beyond this number are closed at once; unlimited if absent. */
+  readonly maxConnections?: number;
 }
 
 export class HttpServer {
@@ -23,11 +28,13 @@
 
   /** Resolves once the port accepts connections. Rejects if it cannot be opened. */
   static async listen(options: HttpServerOptions): Promise<HttpServer> {
-    const listener = getRequestListener(options.app.fetch);
+    const fetch = options.app.fetch as Parameters<typeof getRequestListener>[0];
+    const listener = getRequestListener(fetch);
     const server = createServer({ maxHeaderSize: MAX_HEADER_BYTES }, (request, response) => {
       void listener(request, response);
     });
     server.headersTimeout = HEADERS_TIMEOUT_MS;
+    if (options.maxConnections !== undefined) server.maxConnections = options.maxConnections;
     server.keepAliveTimeout = KEEP_ALIVE_TIMEOUT_MS;
     await new Promise<void>((resolve, reject) => {
       server.once('error', reject);
@@ -40,7 +47,11 @@
   /** Stops accepting connections and resolves once the open ones have ended. */
   close(): Promise<void> {
     return new Promise((resolve) => {
+      const limit = setTimeout(() => {
+        this.server.closeAllConnections();
+      }, CLOSE_LIMIT_MS);
       this.server.close(() => {
+        clearTimeout(limit);
         resolve();
       });
       this.server.closeIdleConnections();
--- a/entry/request_flow.ts
+++ b/entry/request_flow.ts
@@ -1,21 +1,32 @@
 /** The way of one request from authorization to the target's answer, independent of the front end. */
 import { randomUUID } from 'node:crypto';
-import type { Readable } from 'node:stream';
-import { capability } from '../kernel/capability';
-import { authorize } from '../admission/authorize';
+import { Readable } from 'node:stream';
 import type { Admission, AdmissionGate } from '../admission/admission_gate';
+import { authorize } from '../admission/authorize';
 import type { ConfigurationService } from '../config/configuration_service';
+import { fingerprintOf } from '../dispatch/claim_record';
+import type { ClaimResult, Claims, HeldClaim } from '../dispatch/claims';
 import type { DispatchRequest, Dispatcher, Headers, TargetAnswer } from '../dispatch/dispatcher';
+import { capability } from '../kernel/capability';
 import type { Clock } from '../kernel/clock';
+import { MAX_WORK_MS } from '../membership/membership';
 import type { Priority, Queue } from '../model/fleet';
 import { Refusal } from '../model/refusal';
 import { RESULT_CODES } from '../model/result_code';
+import { Activity } from './activity';
+import { recordAnswer } from './answer_recorder';
 
 export const REQUEST_FLOW = capability<RequestFlow>('entry.request_flow');
 
 /** Methods that may be repeated without further effect (RFC 9110, section 9.2.2). */
 const IDEMPOTENT_METHODS: ReadonlySet<string> = new Set(['GET', 'HEAD', 'PUT', 'DELETE', 'OPTIONS', 'TRACE']);
 
+/** A target may notice the deadline it was told this much later, in milliseconds. */
+const DEADLINE_SLACK_MS = 250;
+
+/** Header on an answer that was recorded for an earlier request with the same key. */
+const REPLAYED_HEADER = 'endivestand-replayed';
+
 /** A request as a front end has decoded it. */
 export interface CallerRequest {
   readonly queueId: string;
@@ -28,12 +39,14 @@
   /** Time the caller is willing to wait, in milliseconds; `null` takes the queue's. */
   readonly deadlineMs: number | null;
   readonly priority: Priority | null;
+  /** Aborted when the caller is gone. */
   readonly signal: AbortSignal;
 }
 
 export interface CallerAnswer {
   readonly status: number;
   readonly headers: Headers;
+  /** Emits an error if the answer is incomplete: the front end must not end it regularly then. */
   readonly body: Readable;
 }
 
@@ -42,100 +55,200 @@
   readonly configuration: ConfigurationService;
   readonly admission: AdmissionGate;
   readonly dispatcher: Dispatcher;
+  readonly claims: Claims;
 }
 
+/** A request with what was derived from it on arrival. */
+interface Work {
+  readonly request: CallerRequest;
+  readonly requestId: string;
+  readonly queue: Queue;
+  readonly teamId: string | null;
+  readonly idempotent: boolean;
+  readonly deadlineAtMs: number;
+  readonly endByMs: number;
+}
+
+/**
+ * Takes requests from authorization to the answer.
+ *
+ * @example
+ * ```ts
+ * const answer = await flow.handle(request);
+ * pipeline(answer.body, response, () => undefined);
+ * ```
+ */
 export class RequestFlow {
-  private inFlight = 0;
-  private closed = false;
-  private readonly idleWaiters: (() => void)[] = [];
+  private isClosed = false;
+  private readonly activity = new Activity();
 
   constructor(private readonly options: RequestFlowOptions) {}
 
   /** Runs a request. Rejects with `Refusal` and the true outcome. */
   async handle(request: CallerRequest): Promise<CallerAnswer> {
-    if (this.closed) throw new Refusal(RESULT_CODES.shuttingDown, { outcome: 'not_run', retryAfterS: 0 });
-    this.inFlight += 1;
+    if (this.isClosed) throw new Refusal(RESULT_CODES.shuttingDown, { outcome: 'not_run', retryAfterS: 0 });
+    const end = this.activity.begin();
     try {
-      const answer = await this.run(request);
-      answer.body.once('close', () => {
-        this.ended();
-      });
+      const work = this.accept(request);
+      const answer = await this.run(work);
+      this.limitTime(work, answer.body);
+      answer.body.once('close', end);
       return answer;
     } catch (error) {
-      this.ended();
+      end();
       throw error;
     }
   }
 
-  /** Refuses new requests and resolves once those in flight have ended. */
+  /**
+   * Refuses new requests and resolves once those in flight have ended: their
+   * callers have read the answers, and nothing can be running at a target.
+   */
   close(): Promise<void> {
-    this.closed = true;
-    if (this.inFlight === 0) return Promise.resolve();
-    return new Promise((resolve) => {
-      this.idleWaiters.push(resolve);
-    });
+    this.isClosed = true;
+    return this.activity.idle();
   }
 
-  private async run(request: CallerRequest): Promise<TargetAnswer> {
-    const { clock, configuration, admission } = this.options;
+  private accept(request: CallerRequest): Work {
+    const { clock, configuration } = this.options;
     this.requireFresh();
     const { queue, teamId } = authorize(configuration.fleet(), request.queueId, request.key);
-    const requestId = randomUUID();
-    const deadlineMs = Math.min(request.deadlineMs ?? queue.deadlineMs, queue.deadlineMs);
-    const deadlineAtMs = clock.monotonicMs() + deadlineMs;
+    const nowMs = clock.monotonicMs();
+    const idempotent = queue.idempotent || IDEMPOTENT_METHODS.has(request.method);
+    const deadlineAtMs = nowMs + Math.min(request.deadlineMs ?? queue.deadlineMs, queue.deadlineMs);
+    const endByMs = nowMs + MAX_WORK_MS;
+    return { request, requestId: randomUUID(), queue, teamId, idempotent, deadlineAtMs, endByMs };
+  }
+
+  private async run(work: Work): Promise<CallerAnswer> {
+    const { requestId, teamId, queue, deadlineAtMs, request } = work;
     const priority = request.priority ?? queue.priority;
     const { signal } = request;
-    const admitted = await admission.admit({ requestId, teamId, queue, priority, deadlineAtMs, signal });
-    return this.dispatchAdmitted(admitted, request, this.toDispatch(request, requestId, queue, deadlineAtMs));
+    const admitted = await this.options.admission.admit({
+      requestId,
+      teamId,
+      queue,
+      priority,
+      deadlineAtMs,
+      signal,
+    });
+    const end = this.activity.begin();
+    const admission: Admission = {
+      release: () => {
+        admitted.release();
+        end();
+      },
+    };
+    const { idempotencyKey } = request;
+    if (work.idempotent || idempotencyKey === null) return this.dispatch(work, admission, signal);
+    return this.dispatchClaimed(work, admission, idempotencyKey);
   }
 
-  private async dispatchAdmitted(
-    admitted: Admission,
-    request: CallerRequest,
-    dispatch: DispatchRequest,
-  ): Promise<TargetAnswer> {
+  private async dispatchClaimed(
+    work: Work,
+    admission: Admission,
+    idempotencyKey: string,
+  ): Promise<CallerAnswer> {
+    const result = await this.claim(work, idempotencyKey).catch((error: unknown) => {
+      admission.release();
+      throw error;
+    });
+    if (result.kind === 'replay') {
+      admission.release();
+      const { status, headers, bodyBase64 } = result.answer;
+      const body = Readable.from([Buffer.from(bodyBase64, 'base64')]);
+      return { status, headers: { ...headers, [REPLAYED_HEADER]: 'true' }, body };
+    }
+    const { claim } = result;
     try {
-      // The configuration may have changed while the request waited: the key and the evidence are checked again.
-      this.requireFresh();
-      authorize(this.options.configuration.fleet(), request.queueId, request.key);
-      const answer = await this.options.dispatcher.dispatch(dispatch);
-      answer.body.once('close', () => {
-        admitted.release();
+      // A request that has begun is followed to its end, so that its answer can be recorded.
+      const answer = await this.dispatch(work, admission, new AbortController().signal);
+      return { ...answer, body: recordAnswer(answer, claim) };
+    } catch (error) {
+      settleClaim(claim, error);
+      throw error;
+    }
+  }
+
+  private claim(work: Work, idempotencyKey: string): Promise<ClaimResult> {
+    const { request, teamId, deadlineAtMs } = work;
+    const { signal } = request;
+    const fingerprint = fingerprintOf(request);
+    return this.options.claims.claim({ teamId, idempotencyKey, fingerprint, deadlineAtMs, signal });
+  }
+
+  private async dispatch(work: Work, admission: Admission, signal: AbortSignal): Promise<TargetAnswer> {
+    try {
+      // The configuration may have changed while the request waited.
+      this.requirePermission(work);
+      const answer = await this.options.dispatcher.dispatch(this.toDispatch(work, signal));
+      void answer.ended.then((end) => {
+        this.release(admission, work, end !== 'complete');
       });
       return answer;
     } catch (error) {
-      admitted.release();
+      this.release(admission, work, !(error instanceof Refusal) || error.outcome !== 'not_run');
       throw error;
     }
   }
 
-  private toDispatch(
-    request: CallerRequest,
-    requestId: string,
-    queue: Queue,
-    deadlineAtMs: number,
-  ): DispatchRequest {
+  /** Work that may go on at a target occupies the team's limit until the deadline that the target was told. */
+  private release(admission: Admission, work: Work, mayGoOn: boolean): void {
+    const { clock } = this.options;
+    const leftMs = work.deadlineAtMs + DEADLINE_SLACK_MS - clock.monotonicMs();
+    if (!mayGoOn || leftMs <= 0) admission.release();
+    else
+      clock.schedule(leftMs, () => {
+        admission.release();
+      });
+  }
+
+  /** A caller that does not take its answer must not keep the instance from stopping. */
+  private limitTime(work: Work, body: Readable): void {
+    const { clock } = this.options;
+    const timer = clock.schedule(Math.max(0, work.endByMs - clock.monotonicMs()), () => {
+      body.destroy(new Error('The answer was not taken in time.'));
+    });
+    body.once('close', () => {
+      timer.cancel();
+    });
+  }
+
+  private toDispatch(work: Work, signal: AbortSignal): DispatchRequest {
+    const { request, requestId, queue, idempotent, deadlineAtMs, endByMs } = work;
+    const { method, path, headers, body } = request;
+    const beforeSend = (): void => {
+      this.requirePermission(work);
+    };
     return {
       requestId,
       poolId: queue.poolId,
-      method: request.method,
-      path: request.path,
-      headers: request.headers,
-      body: request.body,
-      idempotent: queue.idempotent || IDEMPOTENT_METHODS.has(request.method),
+      method,
+      path,
+      headers,
+      body,
+      idempotent,
       deadlineAtMs,
-      signal: request.signal,
+      endByMs,
+      signal,
+      beforeSend,
     };
   }
 
+  /** Whether the request may still be sent, as of this turn. */
+  private requirePermission({ request }: Work): void {
+    if (request.signal.aborted) throw new Refusal(RESULT_CODES.callerGone, { outcome: 'not_run' });
+    this.requireFresh();
+    authorize(this.options.configuration.fleet(), request.queueId, request.key);
+  }
+
   private requireFresh(): void {
     if (this.options.configuration.isFresh()) return;
     throw new Refusal(RESULT_CODES.staleConfiguration, { outcome: 'not_run', retryAfterS: 1 });
   }
+}
 
-  private ended(): void {
-    this.inFlight -= 1;
-    if (this.inFlight > 0) return;
-    for (const resolve of this.idleWaiters.splice(0)) resolve();
-  }
+function settleClaim(claim: HeldClaim, error: unknown): void {
+  if (error instanceof Refusal && error.outcome === 'not_run') claim.release();
+  else claim.leaveUnknown();
 }
--- a/model/result_code.ts
+++ b/model/result_code.ts
@@ -48,6 +48,13 @@
     'The request with this idempotency key ran; its answer was not kept.',
   ),
   bodyTimeout: resultCode(1011, 'bodyTimeout', 408, 'The request body did not arrive in time.'),
+  claimUnavailable: resultCode(
+    1012,
+    'claimUnavailable',
+    503,
+    'The idempotency key could not be claimed because the platform does not answer.',
+  ),
+  callerGone: resultCode(1013, 'callerGone', 499, 'The caller gave the request up.'),
   deadlineExceeded: resultCode(
     2001,
     'deadlineExceeded',
@@ -67,6 +74,14 @@
   targetUnreachable: resultCode(3002, 'targetUnreachable', 503, 'No target could be reached.'),
   targetTimeout: resultCode(3003, 'targetTimeout', 504, 'The target did not answer in time.'),
   targetFailed: resultCode(3004, 'targetFailed', 502, 'The target failed before its answer was complete.'),
+  targetRejected: resultCode(3005, 'targetRejected', 503, 'The target rejected the request before it began.'),
+  answerMismatched: resultCode(3006, 'answerMismatched', 502, 'The target answered another request.'),
+  answerUnverifiable: resultCode(
+    3007,
+    'answerUnverifiable',
+    502,
+    'The end of the answer of the target cannot be verified.',
+  ),
   invalidTicket: resultCode(4001, 'invalidTicket', 400, 'The ticket is not valid.'),
   ticketNumberReused: resultCode(
     4002,
--- a/standins/worker_main.ts
+++ b/standins/worker_main.ts
@@ -9,6 +9,9 @@
     port: { type: 'string', default: '0' },
     'instance-id': { type: 'string', default: 'worker-1' },
     'service-ms': { type: 'string', default: '5' },
+    slots: { type: 'string', default: '8' },
+    connections: { type: 'string', default: '64' },
+    'boot-id': { type: 'string' },
   },
 });
 
@@ -16,8 +19,15 @@
   clock: new SystemClock(),
   instanceId: values['instance-id'],
   serviceMs: Number(values['service-ms']),
+  slots: Number(values.slots),
+  ...(values['boot-id'] !== undefined && { bootId: values['boot-id'] }),
 });
 
-void HttpServer.listen({ app, host: '127.0.0.1', port: Number(values.port) }).then(({ port }) => {
+void HttpServer.listen({
+  app,
+  host: '127.0.0.1',
+  port: Number(values.port),
+  maxConnections: Number(values.connections),
+}).then(({ port }) => {
   process.stdout.write(`${JSON.stringify({ port })}\n`);
 });
