--- a/dispatch/leaving_marks.ts
+++ b/dispatch/leaving_marks.ts
@@ -57,6 +57,7 @@
   private marks: ReadonlyMap<string, readonly Mark[]> = new Map();
   private listed: ReadonlyMap<string, Listed> = new Map();
   private listedAsOfMs = Number.NEGATIVE_INFINITY;
+  private ownChangedAtMs = Number.NEGATIVE_INFINITY;
 
   /** Takes in the platform's list as read at `readStartedMs`. */
   observeListing(listing: InstanceListing, readStartedMs: number): void {
@@ -98,6 +99,11 @@
     this.listed = new Map([...this.listed].filter(([instanceId]) => isConfigured(instanceId)));
   }
 
+  /** When this entry instance last saw another boot leave, on the local monotonic clock. */
+  ownChangedMs(): number {
+    return this.ownChangedAtMs;
+  }
+
   /** What this entry instance has seen itself, for its peers. */
   ownMarks(): readonly LeavingTarget[] {
     return [...this.marks.values()]
@@ -123,7 +129,9 @@
     if (this.isFormerBoot(mark)) return;
     const isSame = (other: Mark): boolean =>
       other.bootId === mark.bootId && other.source === mark.source && other.reason === mark.reason;
-    const others = (this.marks.get(mark.instanceId) ?? []).filter((other) => !isSame(other));
+    const known = this.marks.get(mark.instanceId) ?? [];
+    const others = known.filter((other) => !isSame(other));
+    if (mark.source === OWN && others.length === known.length) this.ownChangedAtMs = mark.atMs;
     this.marks = new Map(this.marks).set(mark.instanceId, [...others, mark]);
   }
 
--- a/dispatch/leaving_section.ts
+++ b/dispatch/leaving_section.ts
@@ -8,6 +8,12 @@
 /** Targets per message; an exchange message is at most 64 KiB long. */
 const MAX_TARGETS = 200;
 
+/** A new mark goes out with every exchange of this time, so that a lost message does not hide it, in milliseconds. */
+const NEWS_MS = 2_000;
+
+/** All marks are repeated at this interval, before peers drop what is not repeated, in milliseconds. */
+const REPEAT_MS = 10_000;
+
 const payloadSchema = z.array(
   z.object({
     instanceId: z.string(),
@@ -23,16 +29,22 @@
 }
 
 export class LeavingSection extends ExchangeSection {
-  override readonly name = 'leavingTargets';
+  override readonly name = 'leaving';
+  private readonly sentMs = new Map<string, number>();
 
   constructor(private readonly options: LeavingSectionOptions) {
     super();
   }
 
-  /** The newest marks: peers that were present before know the others already. */
-  override outgoing(): unknown {
-    const marks = this.options.marks.ownMarks();
-    return marks.length === 0 ? undefined : marks.slice(-MAX_TARGETS);
+  override outgoing(peer: PeerIdentity): unknown {
+    const { clock, marks } = this.options;
+    const nowMs = clock.monotonicMs();
+    const isNews = nowMs - marks.ownChangedMs() <= NEWS_MS;
+    const isDue = nowMs - (this.sentMs.get(peer.incarnation) ?? Number.NEGATIVE_INFINITY) >= REPEAT_MS;
+    const own = marks.ownMarks();
+    if (own.length === 0 || (!isNews && !isDue)) return undefined;
+    this.sentMs.set(peer.incarnation, nowMs);
+    return own.slice(-MAX_TARGETS);
   }
 
   override incoming(peer: PeerIdentity, payload: unknown): void {
@@ -46,6 +58,7 @@
   }
 
   override forget(peer: PeerIdentity): void {
+    this.sentMs.delete(peer.incarnation);
     this.options.marks.forgetPeer(peer.memberId);
   }
 }
--- a/entry/caller_api.ts
+++ b/entry/caller_api.ts
@@ -9,6 +9,7 @@
 import type { Counters } from '../telemetry/counters';
 import { LOG_EVENTS } from '../telemetry/events_catalogue';
 import type { Logger } from '../telemetry/logger';
+import type { CallerRoutes } from './caller_routes';
 import { problemResponse, toRefusal } from './problem';
 import { readBody } from './request_body';
 import type { CallerRequest, RequestFlow } from './request_flow';
@@ -51,18 +52,22 @@
   readonly counters: Counters;
   readonly logger: Logger;
   readonly maxBodyBytes: number;
+  /** Routes of other parts, for example jobs. */
+  readonly furtherRoutes?: readonly CallerRoutes[];
 }
 
 /** Routes of the callers API, for a server that offers node's request and response as bindings. */
-export function callerApi(options: CallerApiOptions): Hono<{ Bindings: HttpBindings }> {
-  const app = new Hono<{ Bindings: HttpBindings }>();
+export function callerApi(options: CallerApiOptions): Hono {
+  const app = new Hono();
   app.all('/v1/queues/:queueId/*', async (context) => {
     const request = await decodeRequest(context, options);
     const answer = await options.flow.handle(request);
     options.counters.increment('requests.answered');
-    sendAnswer(context.env.outgoing, context.req.raw.method, answer);
+    const { outgoing } = context.env as HttpBindings;
+    sendAnswer(outgoing, context.req.raw.method, answer);
     return RESPONSE_ALREADY_SENT;
   });
+  for (const routes of options.furtherRoutes ?? []) routes.addTo(app);
   app.onError((error) => {
     const refusal = toRefusal(error);
     options.counters.increment('requests.refused', refusal.result.name);
--- a/standins/worker_app.ts
+++ b/standins/worker_app.ts
@@ -4,6 +4,7 @@
 import { RESPONSE_ALREADY_SENT } from '@hono/node-server/utils/response';
 import { Hono, type Context } from 'hono';
 import type { Clock } from '../kernel/clock';
+import { taskApp } from './task_app';
 import { consumeFault, workerFaultsSchema, type CountedFault, type WorkerFaults } from './worker_faults';
 import { WorkerSlots } from './worker_slots';
 
@@ -49,6 +50,7 @@
     context.json(worker.setFaults(workerFaultsSchema.parse(await context.req.json()))),
   );
   app.post('/drain', (context) => context.json(worker.drain()));
+  app.route('/', taskApp({ clock: options.clock }));
   app.all('*', (context) => worker.serve(context));
   return app;
 }
