Test claims with lost answers, pauses and cancellations

Cause: claims are what keeps a request from running twice, and nothing exercised them.

Change: unit tests per state of a claim, and random histories of one key with two entry instances, table faults, members that end, and callers that give up; none may execute the key twice or after a refusal that said not run.

Conclusion: claims hold under the faults of the in-memory table.

--- /dev/null
+++ b/dispatch/claims_test.ts
@@ -0,0 +1,297 @@
+import fc from 'fast-check';
+import { VirtualClock, settlePromises } from '../kernel/virtual_clock';
+import { Membership, type Member, type MemberStanding } from '../membership/membership';
+import { Refusal } from '../model/refusal';
+import { MemoryTableService, NO_TABLE_FAULTS } from '../platform/memory_table_service';
+import { TableStore } from '../platform/table_store';
+import { MemoryCounters } from '../telemetry/counters';
+import { Logger } from '../telemetry/logger';
+import { CLAIM_LIFETIME_MS, claimKey } from './claim_record';
+import { ClaimSweep } from './claim_sweep';
+import { Claims, type ClaimResult } from './claims';
+
+const logger = Logger.create({ level: 'silent' });
+
+class FakeMembership extends Membership {
+  constructor(
+    private readonly memberId: string,
+    private readonly ended: ReadonlySet<string>,
+  ) {
+    super();
+  }
+  override self(): Member {
+    const { memberId } = this;
+    const address = { host: '127.0.0.1', peerPort: 1, availabilityZone: 'zone-1' };
+    return { memberId, incarnation: `${memberId}-1`, ...address, status: 'active' };
+  }
+  override registered(): readonly Member[] {
+    return [this.self()];
+  }
+  override standing(memberId: string): MemberStanding {
+    return this.ended.has(memberId) ? 'ended' : 'live';
+  }
+}
+
+/** Entry instances with one shared table. */
+class Fixture {
+  readonly clock = new VirtualClock();
+  readonly store = new TableStore();
+  readonly ended = new Set<string>();
+  readonly counters = new MemoryCounters();
+  private readonly members = new Map<string, { table: MemoryTableService; claims: Claims }>();
+
+  member(memberId: string): { readonly table: MemoryTableService; readonly claims: Claims } {
+    const known = this.members.get(memberId);
+    if (known) return known;
+    const { clock, counters } = this;
+    const table = new MemoryTableService(this.store, clock);
+    const membership = new FakeMembership(memberId, this.ended);
+    const member = { table, claims: new Claims({ clock, table, membership, counters, logger }) };
+    this.members.set(memberId, member);
+    return member;
+  }
+
+  claim(memberId: string, key = 'hold-1', fingerprint = 'f', signal?: AbortSignal): Promise<ClaimResult> {
+    return this.member(memberId).claims.claim({
+      teamId: 'desk',
+      idempotencyKey: key,
+      fingerprint,
+      deadlineAtMs: this.clock.monotonicMs() + 10_000,
+      signal: signal ?? new AbortController().signal,
+    });
+  }
+
+  /** The name of the result of a claim. */
+  async outcome(claim: Promise<ClaimResult>): Promise<string> {
+    const named = claim.then(
+      ({ kind }) => kind,
+      (error: unknown) =>
+        error instanceof Refusal ? `${error.result.name} ${error.outcome}` : String(error),
+    );
+    await this.clock.advanceAsync(2_000, 50);
+    return named;
+  }
+
+  async heldBy(memberId: string, key?: string): Promise<Extract<ClaimResult, { kind: 'held' }>['claim']> {
+    const pending = this.claim(memberId, key);
+    await this.clock.advanceAsync(200);
+    const result = await pending;
+    if (result.kind !== 'held') throw new Error('The key is claimed already.');
+    return result.claim;
+  }
+}
+
+const answer = { status: 201, headers: { 'x-slot': '7' }, bodyBase64: 'b2s=' };
+
+describe('Claims', () => {
+  test('tells a second request what became of the first', async () => {
+    const f = new Fixture();
+    const claim = await f.heldBy('a');
+    expect(await f.outcome(f.claim('a'))).toBe('requestInProgress may_have_run');
+    expect(await f.outcome(f.claim('b'))).toBe('requestInProgress may_have_run');
+    expect(await f.outcome(f.claim('b', 'hold-1', 'other'))).toBe('idempotencyKeyReused not_run');
+    claim.complete(answer);
+    await f.clock.advanceAsync(100);
+    const replayed = f.claim('b');
+    await f.clock.advanceAsync(100);
+    expect(await replayed).toEqual({ kind: 'replay', answer });
+  });
+
+  test('never runs again what a member that has ended may have run', async () => {
+    const f = new Fixture();
+    await f.heldBy('a');
+    f.ended.add('a');
+    expect(await f.outcome(f.claim('b'))).toBe('earlierAttemptUnknown may_have_run');
+  });
+
+  test('frees the key after a request that was surely not run, and keeps it after one that may have', async () => {
+    const f = new Fixture();
+    (await f.heldBy('a')).release();
+    await f.clock.advanceAsync(100);
+    (await f.heldBy('b')).leaveUnknown();
+    await f.clock.advanceAsync(100);
+    expect(await f.outcome(f.claim('a'))).toBe('earlierAttemptUnknown may_have_run');
+  });
+
+  test('says that an answer was not kept', async () => {
+    const f = new Fixture();
+    (await f.heldBy('a')).complete(null);
+    await f.clock.advanceAsync(100);
+    expect(await f.outcome(f.claim('b'))).toBe('answerNotKept ran');
+  });
+
+  test('refuses as not run while the table is down, and runs later', async () => {
+    const f = new Fixture();
+    f.member('a').table.faults = { ...NO_TABLE_FAULTS, down: true };
+    expect(await f.outcome(f.claim('a'))).toBe('claimUnavailable not_run');
+    f.member('a').table.faults = NO_TABLE_FAULTS;
+    await f.heldBy('a');
+  });
+
+  test('holds a claim whose answer was lost', async () => {
+    const f = new Fixture();
+    f.member('a').table.faults = { ...NO_TABLE_FAULTS, loseAnswers: 1 };
+    await f.heldBy('a');
+    expect(await f.outcome(f.claim('b'))).toBe('requestInProgress may_have_run');
+  });
+
+  test('removes a claim that is written after its request was refused', async () => {
+    const f = new Fixture();
+    f.member('a').table.faults = { ...NO_TABLE_FAULTS, requestDelayMs: 1_500 };
+    expect(await f.outcome(f.claim('a'))).toBe('claimUnavailable not_run');
+    f.member('a').table.faults = NO_TABLE_FAULTS;
+    await f.clock.advanceAsync(3_000, 50);
+    expect(f.store.read({ prefixes: ['claim/'] })).toEqual([]);
+    await f.heldBy('b');
+  });
+
+  test('keeps trying to record an answer while the table is down', async () => {
+    const f = new Fixture();
+    const claim = await f.heldBy('a');
+    f.member('a').table.faults = { ...NO_TABLE_FAULTS, down: true };
+    claim.complete(answer);
+    await f.clock.advanceAsync(3_000, 50);
+    expect(await f.outcome(f.claim('b'))).toBe('requestInProgress may_have_run');
+    f.member('a').table.faults = NO_TABLE_FAULTS;
+    await f.clock.advanceAsync(6_000, 50);
+    expect(await f.outcome(f.claim('b'))).toBe('replay');
+  });
+
+  test('needs far fewer transactions than claims under load', async () => {
+    const f = new Fixture();
+    f.member('a').table.faults = { ...NO_TABLE_FAULTS, requestDelayMs: 2, answerDelayMs: 2 };
+    const held: Promise<void>[] = [];
+    for (let index = 0; index < 1_000; index += 1) {
+      held.push(
+        f.claim('a', `key-${index}`).then((result) => {
+          if (result.kind === 'held') result.claim.complete(answer);
+        }),
+      );
+      await f.clock.advanceAsync(1, 1);
+    }
+    await f.clock.advanceAsync(500, 1);
+    await Promise.all(held);
+    const rows = f.store.read({ prefixes: ['claim/'] });
+    expect(rows.filter(({ value }) => (value as { state: string }).state === 'done')).toHaveLength(1_000);
+    const transactions = f.counters.snapshot().get('claims.transactions') ?? 0;
+    process.stdout.write(`claims: ${transactions} transactions for 1,000 claims and their records\n`);
+    expect(transactions).toBeLessThan(700);
+  }, 60_000);
+
+  test('a sweep removes only claims older than a day', async () => {
+    const f = new Fixture();
+    await f.heldBy('a', 'old');
+    f.clock.advance(CLAIM_LIFETIME_MS);
+    await f.heldBy('a', 'young');
+    const { clock, counters } = f;
+    const { table } = f.member('b');
+    const sweep = new ClaimSweep({
+      clock,
+      counters,
+      table,
+      logger,
+      teamIds: () => ['desk'],
+      random: () => 0,
+    });
+    for (let slice = 0; slice < 512; slice += 1) await sweep.sweepSlice();
+    expect(f.store.read({ prefixes: ['claim/'] }).map(({ key }) => key)).toEqual([claimKey('desk', 'young')]);
+  });
+});
+
+/** One step of a random history. */
+type Step =
+  | { readonly kind: 'request'; readonly member: number; readonly runMs: number; readonly cancelMs: number }
+  | { readonly kind: 'faults'; readonly member: number; readonly faults: Partial<typeof NO_TABLE_FAULTS> }
+  | { readonly kind: 'pause'; readonly member: number }
+  | { readonly kind: 'wait'; readonly ms: number };
+
+const member = fc.integer({ min: 0, max: 1 });
+const step: fc.Arbitrary<Step> = fc.oneof(
+  {
+    weight: 4,
+    arbitrary: fc.record({
+      kind: fc.constant('request' as const),
+      member,
+      runMs: fc.nat(300),
+      cancelMs: fc.nat(60),
+    }),
+  },
+  {
+    weight: 3,
+    arbitrary: fc.record({
+      kind: fc.constant('faults' as const),
+      member,
+      faults: fc.constantFrom(
+        {},
+        { down: true },
+        { loseAnswers: 1 },
+        { loseAnswers: 3 },
+        { loseRequests: 1 },
+        { requestDelayMs: 40 },
+        { requestDelayMs: 1_500 },
+        { answerDelayMs: 1_200 },
+      ),
+    }),
+  },
+  { weight: 1, arbitrary: fc.record({ kind: fc.constant('pause' as const), member }) },
+  { weight: 3, arbitrary: fc.record({ kind: fc.constant('wait' as const), ms: fc.nat(800) }) },
+);
+
+describe('histories of one key with two entry instances', () => {
+  test('execute it at most once, and never after "not run"', async () => {
+    await fc.assert(
+      fc.asyncProperty(fc.array(step, { maxLength: 14 }), async (steps) => {
+        const f = new Fixture();
+        const executed: number[] = [];
+        const refusedNotRun: number[] = [];
+        const paused = new Set<number>();
+        const run = async (
+          id: number,
+          { member: at, runMs, cancelMs }: Extract<Step, { kind: 'request' }>,
+        ) => {
+          const caller = new AbortController();
+          // A third of the callers give up early.
+          if (cancelMs < 20)
+            f.clock.schedule(cancelMs, () => {
+              caller.abort();
+            });
+          try {
+            const result = await f.claim(`member-${at}`, 'key', 'f', caller.signal);
+            if (result.kind === 'replay') return;
+            if (caller.signal.aborted || paused.has(at)) {
+              // What the freshness check after the claim does on an instance that was paused.
+              result.claim.release();
+              refusedNotRun.push(id);
+              return;
+            }
+            executed.push(id);
+            await f.clock.delay(runMs);
+            if (runMs % 3 === 0) result.claim.leaveUnknown();
+            else result.claim.complete(answer);
+          } catch (error) {
+            if (!(error instanceof Refusal)) throw error;
+            if (error.outcome === 'not_run') refusedNotRun.push(id);
+          }
+        };
+        const requests: Promise<void>[] = [];
+        for (const [id, next] of steps.entries()) {
+          if (next.kind === 'request') requests.push(run(id, next));
+          else if (next.kind === 'wait') await f.clock.advanceAsync(next.ms, 20);
+          else if (next.kind === 'faults')
+            f.member(`member-${next.member}`).table.faults = { ...NO_TABLE_FAULTS, ...next.faults };
+          else {
+            paused.add(next.member);
+            f.ended.add(`member-${next.member}`);
+          }
+          await settlePromises();
+        }
+        for (const at of [0, 1]) f.member(`member-${at}`).table.faults = NO_TABLE_FAULTS;
+        await f.clock.advanceAsync(4_000, 50);
+        await Promise.all(requests);
+        expect(executed.length).toBeLessThanOrEqual(1);
+        expect(executed.filter((id) => refusedNotRun.includes(id))).toEqual([]);
+      }),
+      { seed: 20_261_204, numRuns: 150 },
+    );
+  }, 120_000);
+});
