Carry out waves and moves with the maintenance role

Cause: the decisions of maintenance were not run by anything, and the demo had no maintenance.

Change: PoolMaintainer reads the ledger and the progress rows, plans one step per instance and commits states, ledger and progress in one transaction that is conditional on the head, the ledger's version and the role maintenance/<poolId>. InFlightWatch exchanges counts of attempts on instances that do not serve; the dispatcher counts attempts from the choice of the target to the end of the response. GET /v1/waves shows done, in progress, waiting and the reason of a pause on every entry instance. bench/fake_fleet.ts fills in the new fields of an instance through its schema, without which the type check failed.

The properties under faults are not tested yet.

--- a/bench/fake_fleet.ts
+++ b/bench/fake_fleet.ts
@@ -1,5 +1,5 @@
 /** Small fleets for simulations. */
-import type { FleetConfiguration, Queue, Team } from '../model/fleet';
+import { instanceSchema, type FleetConfiguration, type Queue, type Team } from '../model/fleet';
 
 export interface FakeFleetOptions {
   readonly teams: readonly Team[];
@@ -13,16 +13,17 @@
 /** A fleet whose workers all serve. */
 export function fakeFleet(options: FakeFleetOptions): FleetConfiguration {
   const instances = [...options.workers].flatMap(([poolId, count]) =>
-    Array.from({ length: count }, (_, index) => ({
-      instanceId: `${poolId}-${index + 1}`,
-      poolId,
-      host: '127.0.0.1',
-      port: 1,
-      availabilityZone: `zone-${(index % 3) + 1}`,
-      rack: `rack-${Math.floor(index / 4) + 1}`,
-      slots: options.slots,
-      connections: 64,
-    })),
+    Array.from({ length: count }, (_, index) =>
+      instanceSchema.parse({
+        instanceId: `${poolId}-${index + 1}`,
+        poolId,
+        host: '127.0.0.1',
+        port: 1,
+        availabilityZone: `zone-${(index % 3) + 1}`,
+        rack: `rack-${Math.floor(index / 4) + 1}`,
+        slots: options.slots,
+      }),
+    ),
   );
   return {
     revision: options.revision,
--- a/demo/demo_main.ts
+++ b/demo/demo_main.ts
@@ -1,5 +1,6 @@
 /** Demonstration: a whole deployment serves requests and applies a ticket, then stops gracefully. */
 import { DEMO_KEY, demoTicket } from './demo_ticket';
+import { runWaveDemo } from './demo_wave';
 import { Deployment, sendJson } from './deployment';
 
 const REQUESTS = 50;
@@ -14,10 +15,18 @@
     const { status } = await sendJson(url, 'GET', DEMO_KEY);
     statuses.set(status, (statuses.get(status) ?? 0) + 1);
   }
+  const wave = await runWaveDemo(deployment, 2);
   const codes = await deployment.stop();
   process.stdout.write(`requests by status: ${JSON.stringify(Object.fromEntries(statuses))}\n`);
   process.stdout.write(`exit codes of the entry instances: ${codes.join(', ')}\n`);
-  process.exitCode = statuses.get(200) === REQUESTS && codes.every((code) => code === 0) ? 0 : 1;
+  process.stdout.write(
+    `wave of one instance: ${wave.finished ? 'finished' : 'not finished'} after ${Math.round(wave.durationMs)} ms, ` +
+      `requests by status meanwhile: ${JSON.stringify(Object.fromEntries(wave.answers))}, ` +
+      `sent again after a refusal by code: ${JSON.stringify(Object.fromEntries(wave.retried))}\n`,
+  );
+  const isWaveGood = wave.finished && [...wave.answers.keys()].every((answer) => answer === '200');
+  const isServed = statuses.get(200) === REQUESTS && codes.every((code) => code === 0);
+  process.exitCode = isServed && isWaveGood ? 0 : 1;
 }
 
 void main();
--- a/dispatch/dispatch_plugin.ts
+++ b/dispatch/dispatch_plugin.ts
@@ -4,6 +4,7 @@
 import { Plugin } from '../kernel/plugin';
 import { pluginRegistry } from '../kernel/plugin_registry';
 import { DISPATCHER } from './dispatcher';
+import { IN_FLIGHT, InFlightCounter } from './in_flight';
 import { PoolDispatcher } from './pool_dispatcher';
 
 class DispatchPlugin extends Plugin {
@@ -13,7 +14,13 @@
 
   override setUp(kernel: Kernel): void {
     const configuration = kernel.use(CONFIGURATION);
-    this.dispatcher = new PoolDispatcher({ clock: kernel.clock, fleet: () => configuration.fleet() });
+    const inFlight = new InFlightCounter();
+    this.dispatcher = new PoolDispatcher({
+      clock: kernel.clock,
+      fleet: () => configuration.fleet(),
+      inFlight,
+    });
+    kernel.provide(IN_FLIGHT, inFlight);
     kernel.provide(DISPATCHER, this.dispatcher);
   }
 
--- a/dispatch/pool_dispatcher.ts
+++ b/dispatch/pool_dispatcher.ts
@@ -5,9 +5,11 @@
 import type { FleetConfiguration, Instance } from '../model/fleet';
 import { Refusal } from '../model/refusal';
 import { RESULT_CODES } from '../model/result_code';
+import type { InFlightCounter } from './in_flight';
 import { Dispatcher, type DispatchRequest, type Headers, type TargetAnswer } from './dispatcher';
 
 export interface PoolDispatcherOptions {
+  readonly inFlight: InFlightCounter;
   readonly clock: Clock;
   readonly fleet: () => FleetConfiguration;
 }
@@ -24,9 +26,13 @@
     const target = targets[randomInt(Math.max(1, targets.length))];
     if (target === undefined)
       throw new Refusal(RESULT_CODES.noTarget, { outcome: 'not_run', retryAfterS: 1 });
+    const end = this.options.inFlight.begin(target.instanceId);
     try {
-      return await this.attempt(target, request);
+      const answer = await this.attempt(target, request);
+      answer.body.once('close', end);
+      return answer;
     } catch (error) {
+      end();
       throw toRefusal(error);
     }
   }
--- a/entry/entry_plugin.ts
+++ b/entry/entry_plugin.ts
@@ -7,6 +7,7 @@
 import type { Kernel } from '../kernel/kernel';
 import { Plugin } from '../kernel/plugin';
 import { pluginRegistry } from '../kernel/plugin_registry';
+import { MAINTENANCE_PROGRESS } from '../maintenance/maintenance_progress';
 import { TABLE } from '../platform/platform_plugin';
 import { COUNTERS, LOGGER, SETTINGS } from '../settings/base_capabilities';
 import { MemoryCounters } from '../telemetry/counters';
@@ -21,7 +22,15 @@
 
 class EntryPlugin extends Plugin {
   override readonly name = 'entry';
-  override readonly requires = ['config', 'membership', 'peers', 'admission', 'dispatch', 'jobs'];
+  override readonly requires = [
+    'config',
+    'membership',
+    'peers',
+    'admission',
+    'dispatch',
+    'jobs',
+    'maintenance',
+  ];
   private kernel: Kernel | null = null;
   private servers: readonly HttpServer[] = [];
   private readonly readiness = new Readiness();
@@ -91,6 +100,7 @@
       tickets: new TicketService({ clock: kernel.clock, configuration, table: kernel.use(TABLE) }),
       configuration,
       readiness: this.readiness,
+      progress: kernel.use(MAINTENANCE_PROGRESS),
       counters: kernel.use(COUNTERS),
       operatorToken: kernel.use(SETTINGS).operatorToken,
       status: () => this.status(kernel),
--- a/entry/operator_api.ts
+++ b/entry/operator_api.ts
@@ -3,6 +3,7 @@
 import { Hono } from 'hono';
 import type { ConfigurationService } from '../config/configuration_service';
 import type { TicketService } from '../config/ticket_service';
+import type { MaintenanceProgress } from '../maintenance/maintenance_progress';
 import { Refusal } from '../model/refusal';
 import { RESULT_CODES } from '../model/result_code';
 import { ticketSchema, type Ticket } from '../model/ticket';
@@ -15,6 +16,7 @@
   readonly tickets: TicketService;
   readonly configuration: ConfigurationService;
   readonly readiness: Readiness;
+  readonly progress: MaintenanceProgress;
   readonly counters: Counters;
   readonly operatorToken: string;
   /** Builds the answer to `GET /v1/status`. */
@@ -46,9 +48,10 @@
     context.json(await tickets.get(Number(context.req.param('number')))),
   );
   app.get('/v1/status', (context) => context.json(options.status()));
-  for (const kind of ['teams', 'pools', 'queues', 'waves'] as const) {
+  for (const kind of ['teams', 'pools', 'queues'] as const) {
     app.get(`/v1/${kind}`, (context) => context.json({ [kind]: [...configuration.fleet()[kind].values()] }));
   }
+  app.get('/v1/waves', async (context) => context.json({ waves: await options.progress.waves() }));
   app.get('/v1/instances', (context) => {
     const { instances, instanceStates } = configuration.fleet();
     const list = [...instances.values()].map((instance) => ({
--- a/entry/wiring.ts
+++ b/entry/wiring.ts
@@ -6,6 +6,7 @@
 import '../admission/admission_plugin';
 import '../dispatch/dispatch_plugin';
 import '../jobs/jobs_plugin';
+import '../maintenance/maintenance_plugin';
 import './entry_plugin';
 import type { Clock } from '../kernel/clock';
 import { Kernel } from '../kernel/kernel';
--- /dev/null
+++ b/maintenance/in_flight_watch.ts
@@ -0,0 +1,95 @@
+/** Finds out when no entry instance has work running on an instance. */
+import { z } from 'zod';
+import type { InFlightCounts } from '../dispatch/in_flight';
+import type { Clock } from '../kernel/clock';
+import { STANDING_WAIT_MS } from '../membership/ended_incarnations';
+import type { Membership } from '../membership/membership';
+import type { FleetConfiguration } from '../model/fleet';
+import { ExchangeSection, type PeerIdentity } from '../peers/exchange';
+import type { LedgerEntry } from './availability_ledger';
+
+const reportSchema = z.object({
+  /** Configuration in use when the counts were taken. */
+  revision: z.int(),
+  /** Attempts in progress on instances that do not serve; instances without any are left out. */
+  inFlight: z.record(z.string(), z.int()),
+});
+
+type Report = Readonly<z.infer<typeof reportSchema>> & { readonly incarnation: string };
+
+export interface InFlightWatchOptions {
+  readonly clock: Clock;
+  readonly counts: InFlightCounts;
+  readonly membership: Membership;
+  readonly fleet: () => FleetConfiguration;
+}
+
+/**
+ * Exchanges counts of attempts in progress on instances that do not serve. A
+ * member that knows the revision of a drain starts nothing more there, so its
+ * later counts only fall.
+ */
+export class InFlightWatch extends ExchangeSection {
+  override readonly name = 'maintenance';
+  private readonly reports = new Map<string, Report>();
+  private readonly firstSeenMs = new Map<string, number>();
+
+  constructor(private readonly options: InFlightWatchOptions) {
+    super();
+  }
+
+  override outgoing(): unknown {
+    const { counts, fleet } = this.options;
+    const { revision, instanceStates } = fleet();
+    const busy = [...instanceStates.values()]
+      .filter(({ state, instanceId }) => state !== 'serving' && counts.count(instanceId) > 0)
+      .map(({ instanceId }) => [instanceId, counts.count(instanceId)] as const);
+    return { revision, inFlight: Object.fromEntries(busy) };
+  }
+
+  override incoming(peer: PeerIdentity, payload: unknown): void {
+    const parsed = reportSchema.safeParse(payload);
+    if (parsed.success) this.reports.set(peer.memberId, { ...parsed.data, incarnation: peer.incarnation });
+    else this.reports.delete(peer.memberId);
+  }
+
+  override forget(peer: PeerIdentity): void {
+    this.reports.delete(peer.memberId);
+  }
+
+  /**
+   * Whether nothing runs on the instance of the entry any more: every member
+   * says so, or the longest permitted work has ended. `allAccounted` is false
+   * while a fenced member may have work running that nobody reports.
+   */
+  isQuiet(entry: LedgerEntry, allAccounted: boolean): boolean {
+    if (entry.revision === null) return false;
+    if (this.waitedMs(entry, entry.revision) >= STANDING_WAIT_MS) return true;
+    if (!allAccounted || !this.isLocallyQuiet(entry, entry.revision)) return false;
+    const { membership } = this.options;
+    const selfId = membership.self()?.memberId;
+    return membership
+      .registered()
+      .filter(({ memberId }) => memberId !== selfId)
+      .every((member) => this.isReportedQuiet(member, entry));
+  }
+
+  private isLocallyQuiet(entry: LedgerEntry, revision: number): boolean {
+    const { fleet, counts } = this.options;
+    return fleet().revision >= revision && counts.count(entry.instanceId) === 0;
+  }
+
+  private isReportedQuiet(member: PeerIdentity, entry: LedgerEntry): boolean {
+    const report = this.reports.get(member.memberId);
+    if (report?.incarnation !== member.incarnation) return false;
+    return report.revision >= (entry.revision ?? 0) && (report.inFlight[entry.instanceId] ?? 0) === 0;
+  }
+
+  private waitedMs(entry: LedgerEntry, revision: number): number {
+    const key = `${entry.instanceId}/${revision}`;
+    const nowMs = this.options.clock.monotonicMs();
+    const sinceMs = this.firstSeenMs.get(key) ?? nowMs;
+    this.firstSeenMs.set(key, sinceMs);
+    return nowMs - sinceMs;
+  }
+}
--- /dev/null
+++ b/maintenance/pool_rows.ts
@@ -0,0 +1,54 @@
+/** Reads and encodes the rows that maintenance of one pool keeps. */
+import type { FleetConfiguration } from '../model/fleet';
+import type { Condition, Row, TableService, Write } from '../platform/table_service';
+import { byInstance, ledgerKey, ledgerSchema, type LedgerEntries } from './availability_ledger';
+import { wavesOfPool, type TickPlan } from './tick_plan';
+import { waveRecordKey, waveRecordSchema, type WaveRecord } from './wave_record';
+
+/** The rows of a pool at the versions at which they were read. */
+export interface PoolRows {
+  readonly entries: LedgerEntries;
+  readonly records: ReadonlyMap<string, WaveRecord>;
+  readonly versions: ReadonlyMap<string, number>;
+}
+
+/** Reads the ledger of a pool and the progress of its waves. Throws `TableUnavailableError`. */
+export async function readPoolRows(
+  table: TableService,
+  fleet: FleetConfiguration,
+  poolId: string,
+): Promise<PoolRows> {
+  const waves = wavesOfPool(fleet, poolId);
+  const keys = [ledgerKey(poolId), ...waves.map(({ waveId }) => waveRecordKey(waveId))];
+  const rows = await table.read({ keys });
+  const ledger = rows.find(({ key }) => key === ledgerKey(poolId));
+  const records = rows.filter(({ key }) => key !== ledgerKey(poolId)).map(parseRecord);
+  return {
+    entries: byInstance(ledger ? ledgerSchema.parse(ledger.value).entries : []),
+    records: new Map(records.map((record) => [record.waveId, record])),
+    versions: new Map(rows.map(({ key, version }) => [key, version])),
+  };
+}
+
+/** The writes that lead from `rows` to `plan`, and conditions that nobody else has written them. */
+export function diffPoolRows(
+  poolId: string,
+  rows: PoolRows,
+  plan: TickPlan,
+): { readonly conditions: readonly Condition[]; readonly writes: readonly Write[] } {
+  const ledger = { entries: [...plan.entries.values()] };
+  const hasLedgerChanged = JSON.stringify(ledger.entries) !== JSON.stringify([...rows.entries.values()]);
+  const ledgerWrites: readonly Write[] = hasLedgerChanged ? [{ key: ledgerKey(poolId), value: ledger }] : [];
+  const recordWrites = [...plan.records.values()]
+    .filter((record) => rows.records.get(record.waveId) !== record)
+    .map((record): Write => ({ key: waveRecordKey(record.waveId), value: record }));
+  const writes = [...ledgerWrites, ...recordWrites];
+  // A decision depends on the ledger even if it does not change it.
+  const keys = new Set([ledgerKey(poolId), ...writes.map(({ key }) => key)]);
+  const conditions = [...keys].map((key) => ({ key, version: rows.versions.get(key) ?? null }));
+  return { conditions, writes };
+}
+
+function parseRecord(row: Row): WaveRecord {
+  return waveRecordSchema.parse(row.value);
+}
