Let requests wait for a configuration that is being loaded

Change: a request waits up to 500 ms for the configuration to be fresh before it is accepted and before it is dispatched; a head that arrives between the check and the first byte delays it again, at most three times.

--- a/config/configuration_service.ts
+++ b/config/configuration_service.ts
@@ -28,6 +28,9 @@
 /** Published when the membership epoch in the head has changed. */
 export const MEMBERSHIP_CHANGED = eventType<{ readonly head: Head }>('config.membership_changed');
 
+/** Interval between looks at the freshness while work waits for it, in milliseconds. */
+const FRESHNESS_RECHECK_MS = 20;
+
 export interface ConfigurationServiceOptions {
   readonly clock: Clock;
   readonly log: ChangeLog;
@@ -64,6 +67,25 @@
     return this.guard.isFresh();
   }
 
+  /**
+   * Resolves with whether the configuration is fresh, or becomes so within
+   * `limitMs` milliseconds. A newer head makes it stale for the moment that
+   * loading takes; work that can wait that long need not be refused.
+   */
+  async untilFresh(limitMs: number): Promise<boolean> {
+    const { clock } = this.options;
+    const endMs = clock.monotonicMs() + limitMs;
+    while (!this.isFresh()) {
+      const leftMs = endMs - clock.monotonicMs();
+      if (leftMs <= 0) return false;
+      const refreshed = this.refresh().catch(() => undefined);
+      await Promise.race([refreshed, clock.delay(leftMs)]);
+      // The membership is loaded apart from the configuration, and a failed read must not be repeated at once.
+      if (!this.isFresh()) await clock.delay(Math.min(FRESHNESS_RECHECK_MS, leftMs));
+    }
+    return true;
+  }
+
   /** The configuration in use with its ticket numbers. */
   state(): ConfigurationState {
     if (this.snapshot === null) throw new Error('The configuration has not been loaded yet.');
--- a/entry/request_flow.ts
+++ b/entry/request_flow.ts
@@ -24,6 +24,12 @@
 /** A target may notice the deadline it was told this much later, in milliseconds. */
 const DEADLINE_SLACK_MS = 250;
 
+/** Longest wait for a configuration that is being loaded, in milliseconds. */
+const FRESHNESS_WAIT_MS = 500;
+
+/** Times that a request is dispatched when newer heads keep arriving. */
+const FRESHNESS_ATTEMPTS = 3;
+
 /** Header on an answer that was recorded for an earlier request with the same key. */
 const REPLAYED_HEADER = 'endivestand-replayed';
 
@@ -89,6 +95,7 @@
     if (this.isClosed) throw new Refusal(RESULT_CODES.shuttingDown, { outcome: 'not_run', retryAfterS: 0 });
     const end = this.activity.begin();
     try {
+      await this.options.configuration.untilFresh(FRESHNESS_WAIT_MS);
       const work = this.accept(request);
       const answer = await this.run(work);
       this.limitTime(work, answer.body);
@@ -179,9 +186,7 @@
 
   private async dispatch(work: Work, admission: Admission, signal: AbortSignal): Promise<TargetAnswer> {
     try {
-      // The configuration may have changed while the request waited.
-      this.requirePermission(work);
-      const answer = await this.options.dispatcher.dispatch(this.toDispatch(work, signal));
+      const answer = await this.dispatchWhenFresh(work, signal);
       void answer.ended.then((end) => {
         this.release(admission, work, end !== 'complete');
       });
@@ -192,6 +197,20 @@
     }
   }
 
+  /** A newer head that arrives between the check and the first byte only delays the request. */
+  private async dispatchWhenFresh(work: Work, signal: AbortSignal): Promise<TargetAnswer> {
+    for (let attempt = 1; ; attempt += 1) {
+      await this.options.configuration.untilFresh(FRESHNESS_WAIT_MS);
+      // The configuration may have changed while the request waited.
+      this.requirePermission(work);
+      try {
+        return await this.options.dispatcher.dispatch(this.toDispatch(work, signal));
+      } catch (error) {
+        if (attempt >= FRESHNESS_ATTEMPTS || !isStaleBeforeSend(error)) throw error;
+      }
+    }
+  }
+
   /** Work that may go on at a target occupies the team's limit until the deadline that the target was told. */
   private release(admission: Admission, work: Work, mayGoOn: boolean): void {
     const { clock } = this.options;
@@ -252,3 +271,11 @@
   if (error instanceof Refusal && error.outcome === 'not_run') claim.release();
   else claim.leaveUnknown();
 }
+
+function isStaleBeforeSend(error: unknown): boolean {
+  return (
+    error instanceof Refusal &&
+    error.result === RESULT_CODES.staleConfiguration &&
+    error.outcome === 'not_run'
+  );
+}
