Place jobs on workers under leases and fencing epochs

Cause: nothing carried the placement decisions out.

Change: PlacementRoles spreads the roles placement/<poolId> over the entry instances by rendezvous hashing and hands an idle role to the preferred member. PoolPlacement runs while the role is held: it follows the open jobs, keeps a session with each worker, resolves lost answers by listing in a new session, adopts or stops tasks of older epochs, takes an admission before each start and releases it once the task has certainly ended, preempts batch tasks for urgent jobs, retries within a budget and marks jobs that can no longer run. A job is placed again only when its task is reported as ended, is absent from a list after which it cannot start, or its worker has been silent for longer than two leases.

--- a/jobs/jobs_plugin.ts
+++ b/jobs/jobs_plugin.ts
@@ -1,29 +1,118 @@
-/** Provides the job service. */
+/** Provides the job service and places jobs. */
+import { ADMISSION } from '../admission/admission_gate';
 import { CONFIGURATION } from '../config/configuration_service';
 import type { Kernel } from '../kernel/kernel';
 import { Plugin } from '../kernel/plugin';
 import { pluginRegistry } from '../kernel/plugin_registry';
+import { MEMBERSHIP } from '../membership/membership';
+import type { FleetConfiguration } from '../model/fleet';
 import { TABLE } from '../platform/platform_plugin';
-import { COUNTERS } from '../settings/base_capabilities';
+import { WORKER_CONTROL } from '../platform/worker_control';
+import { RoleLeases } from '../roles/role_lease';
+import { COUNTERS, LOGGER } from '../settings/base_capabilities';
+import { LOG_EVENTS } from '../telemetry/events_catalogue';
+import { BestFitPlacement } from './best_fit_placement';
 import { JOB_CHANGED, JOB_SERVICE, JobService } from './job_service';
 import { JobStore } from './job_store';
+import { PlacementRoles, type PlacementTerm } from './placement_roles';
+import { PoolPlacement } from './pool_placement';
+import { UsageModel } from './usage_model';
+import { WorkerHealth } from './worker_health';
 
 class JobsPlugin extends Plugin {
   override readonly name = 'jobs';
   override readonly requires = ['platform', 'config', 'membership', 'admission'];
+  private kernel: Kernel | null = null;
+  private store: JobStore | null = null;
+  private roles: PlacementRoles | null = null;
+  /** What has been learnt about a pool outlasts a term of holding its role. */
+  private readonly learnt = new Map<string, { readonly usage: UsageModel; readonly health: WorkerHealth }>();
 
   override setUp(kernel: Kernel): void {
+    this.kernel = kernel;
     const configuration = kernel.use(CONFIGURATION);
+    const freshFleet = (): FleetConfiguration | null =>
+      configuration.isFresh() ? configuration.fleet() : null;
+    const store = new JobStore(kernel.use(TABLE), kernel.clock);
+    const roles = this.placementRoles(kernel, store, freshFleet);
     const service = new JobService({
       clock: kernel.clock,
-      freshFleet: () => (configuration.isFresh() ? configuration.fleet() : null),
-      store: new JobStore(kernel.use(TABLE), kernel.clock),
+      freshFleet,
+      store,
       counters: kernel.use(COUNTERS),
       onChanged: (poolId) => {
         kernel.events.publish(JOB_CHANGED, { poolId });
       },
     });
     kernel.provide(JOB_SERVICE, service);
+    kernel.events.subscribe(JOB_CHANGED, ({ poolId }) => {
+      roles.jobsChanged(poolId);
+    });
+    this.store = store;
+    this.roles = roles;
+  }
+
+  override async start(): Promise<void> {
+    this.roles?.start(await this.poolsWithOpenJobs());
+  }
+
+  override async stop(): Promise<void> {
+    await this.roles?.stop();
+  }
+
+  /** Jobs of a pool that was removed while no entry instance ran are found here. */
+  private async poolsWithOpenJobs(): Promise<ReadonlySet<string>> {
+    try {
+      return (await this.store?.poolsWithOpenJobs()) ?? new Set();
+    } catch (error) {
+      this.kernel?.use(COUNTERS).increment('table.read_failed');
+      this.kernel?.use(LOGGER).warn(LOG_EVENTS.tableUnavailable, { reason: String(error) });
+      return new Set();
+    }
+  }
+
+  private placementRoles(
+    kernel: Kernel,
+    store: JobStore,
+    freshFleet: () => FleetConfiguration | null,
+  ): PlacementRoles {
+    const membership = kernel.use(MEMBERSHIP);
+    const leases = new RoleLeases(kernel.use(TABLE), membership);
+    return new PlacementRoles({
+      clock: kernel.clock,
+      roles: leases,
+      membership,
+      freshFleet,
+      counters: kernel.use(COUNTERS),
+      logger: kernel.use(LOGGER),
+      createPlacement: (term) => this.createPlacement(kernel, store, leases, term),
+    });
+  }
+
+  private createPlacement(
+    kernel: Kernel,
+    store: JobStore,
+    roles: RoleLeases,
+    term: PlacementTerm,
+  ): PoolPlacement {
+    const configuration = kernel.use(CONFIGURATION);
+    const known = this.learnt.get(term.poolId);
+    const learnt = known ?? { usage: new UsageModel(), health: new WorkerHealth(Math.random) };
+    this.learnt.set(term.poolId, learnt);
+    return new PoolPlacement({
+      ...term,
+      ...learnt,
+      clock: kernel.clock,
+      store,
+      roles,
+      control: kernel.use(WORKER_CONTROL),
+      gate: kernel.use(ADMISSION),
+      fleet: () => configuration.fleet(),
+      policy: new BestFitPlacement(),
+      random: Math.random,
+      counters: kernel.use(COUNTERS),
+      logger: kernel.use(LOGGER),
+    });
   }
 }
 
--- a/jobs/placement_plan.ts
+++ b/jobs/placement_plan.ts
@@ -110,7 +110,9 @@
 
   /** Keeps later jobs off the worker that is closest to having room, so that its tasks run out. */
   private reserveLargest(demand: Resources): void {
-    const able = [...this.workers.values()].filter(({ capacity }) => fitsInto(demand, capacity));
+    const able = [...this.workers.values()].filter(
+      ({ capacity, tasksLeft }) => tasksLeft > 0 && fitsInto(demand, capacity),
+    );
     const [first, ...others] = able;
     if (first === undefined) return;
     const freest = others.reduce(
--- /dev/null
+++ b/jobs/placement_rank.ts
@@ -0,0 +1,21 @@
+/** Spreads the placement roles over the entry instances. */
+import { createHash } from 'node:crypto';
+
+/**
+ * Rank of a member for a pool, 0 for the one that should hold its role. Each
+ * member computes the same ranks from the same list, and a member that comes
+ * or goes changes the ranks of few pools (rendezvous hashing).
+ *
+ * @example
+ * ```ts
+ * placementRank('billing', 'entry-2', ['entry-1', 'entry-2', 'entry-3']);
+ * ```
+ */
+export function placementRank(poolId: string, memberId: string, memberIds: readonly string[]): number {
+  const own = weight(poolId, memberId);
+  return memberIds.filter((other) => weight(poolId, other) > own).length;
+}
+
+function weight(poolId: string, memberId: string): string {
+  return createHash('sha256').update(`${poolId}\n${memberId}`, 'utf8').digest('hex');
+}
--- /dev/null
+++ b/jobs/task_admissions.ts
@@ -0,0 +1,81 @@
+/** Admissions held for tasks: each stays held while the task may be running. */
+import type { Admission, AdmissionGate } from '../admission/admission_gate';
+import type { Clock } from '../kernel/clock';
+import type { Queue } from '../model/fleet';
+import { Refusal } from '../model/refusal';
+import type { Counters } from '../telemetry/counters';
+import { taskIdOf, type Job } from './job';
+
+export interface TaskAdmissionsOptions {
+  readonly clock: Clock;
+  readonly gate: AdmissionGate;
+  readonly counters: Counters;
+}
+
+/** Admissions by job. */
+export class TaskAdmissions {
+  private readonly held = new Map<string, Admission>();
+  private readonly pending = new Map<string, AbortController>();
+
+  constructor(private readonly options: TaskAdmissionsOptions) {}
+
+  has(jobId: string): boolean {
+    return this.held.has(jobId);
+  }
+
+  isPending(jobId: string): boolean {
+    return this.pending.has(jobId);
+  }
+
+  /** Whether the job may run; waits for at most `patienceMs`. */
+  async acquire(job: Job, queue: Queue, patienceMs: number): Promise<boolean> {
+    if (this.held.has(job.jobId)) return true;
+    const { clock, gate, counters } = this.options;
+    const abort = new AbortController();
+    this.pending.set(job.jobId, abort);
+    try {
+      const admission = await gate.admit({
+        requestId: taskIdOf(job),
+        teamId: job.teamId,
+        queue,
+        priority: job.priority,
+        deadlineAtMs: clock.monotonicMs() + patienceMs,
+        signal: abort.signal,
+      });
+      if (abort.signal.aborted) {
+        admission.release();
+        return false;
+      }
+      this.held.set(job.jobId, admission);
+      return true;
+    } catch (error) {
+      if (!(error instanceof Refusal)) throw error;
+      counters.increment('jobs.admission_refused', error.result.name);
+      return false;
+    } finally {
+      this.pending.delete(job.jobId);
+    }
+  }
+
+  /** Stops waiting for an admission that is no longer wanted. */
+  abort(jobId: string): void {
+    this.pending.get(jobId)?.abort();
+  }
+
+  /** Must be called once the task has certainly ended or was certainly not started. */
+  release(jobId: string): void {
+    const admission = this.held.get(jobId);
+    this.held.delete(jobId);
+    admission?.release();
+  }
+
+  /** Releases everything once `delayMs` has passed, for tasks that another holder now accounts for. */
+  releaseAllAfter(delayMs: number): void {
+    for (const jobId of this.pending.keys()) this.abort(jobId);
+    const held = [...this.held.values()];
+    this.held.clear();
+    this.options.clock.schedule(delayMs, () => {
+      for (const admission of held) admission.release();
+    });
+  }
+}
