--- a/dispatch/target_table.ts
+++ b/dispatch/target_table.ts
@@ -58,8 +58,10 @@
     const present = this.serving(query.poolId).filter(
       ({ instanceId }) => !marks.isLeaving(instanceId, nowMs),
     );
-    const usable = present.filter(({ instanceId }) => this.mayTake(instanceId, query.isIdempotent, nowMs));
-    if (usable.length === 0) return { kind: 'none' };
+    if (present.length === 0) return { kind: 'none' };
+    const healthy = present.filter(({ instanceId }) => this.mayTake(instanceId, query.isIdempotent, nowMs));
+    // When all healthy targets are leaving, a failing one is better than none.
+    const usable = healthy.length > 0 ? healthy : present;
     const untried = usable.filter(({ instanceId }) => !query.tried.has(instanceId));
     const candidates = (untried.length > 0 ? untried : usable)
       .filter((instance) => this.openCount(instance.instanceId) < this.connectionShare(instance))
@@ -95,6 +97,7 @@
     const poolId = this.options.fleet().instanceStates.get(instanceId)?.poolId ?? instance.poolId;
     const peers = this.serving(poolId)
       .filter((other) => other.instanceId !== instanceId)
+      .filter((other) => !this.options.marks.isLeaving(other.instanceId, nowMs))
       .map((other) => this.healthOf(other.instanceId));
     if (!isOutlier(health, peers, nowMs)) return false;
     this.health.set(instanceId, eject(health, nowMs));
--- a/entry/request_flow.ts
+++ b/entry/request_flow.ts
@@ -52,7 +52,7 @@
 
 export interface RequestFlowOptions {
   readonly clock: Clock;
-  readonly configuration: ConfigurationService;
+  readonly configuration: Pick<ConfigurationService, 'fleet' | 'isFresh'>;
   readonly admission: AdmissionGate;
   readonly dispatcher: Dispatcher;
   readonly claims: Claims;
--- /dev/null
+++ b/entry/request_path_test.ts
@@ -0,0 +1,306 @@
+import { once } from 'node:events';
+import { request as httpRequest, type IncomingMessage } from 'node:http';
+import { AdmissionGate, type Admission } from '../admission/admission_gate';
+import { hashKey } from '../admission/key_index';
+import { Claims } from '../dispatch/claims';
+import { FleetDispatcher } from '../dispatch/fleet_dispatcher';
+import { LeavingMarks } from '../dispatch/leaving_marks';
+import { TargetTable } from '../dispatch/target_table';
+import { UndiciTransport } from '../dispatch/undici_transport';
+import { SystemClock } from '../kernel/system_clock';
+import { Membership, type Member, type MemberStanding } from '../membership/membership';
+import { EMPTY_CONFIGURATION, instanceSchema, queueSchema, type FleetConfiguration } from '../model/fleet';
+import { MemoryTableService } from '../platform/memory_table_service';
+import { TableStore } from '../platform/table_store';
+import { workerApp, type Execution } from '../standins/worker_app';
+import { MemoryCounters } from '../telemetry/counters';
+import { Logger } from '../telemetry/logger';
+import { callerApi } from './caller_api';
+import { HttpServer } from './http_server';
+import { RequestFlow } from './request_flow';
+
+const KEY = 'key-of-the-desk';
+const clock = new SystemClock();
+const logger = Logger.create({ level: 'silent' });
+
+class OneMember extends Membership {
+  override self(): Member {
+    const address = { host: '127.0.0.1', peerPort: 1, availabilityZone: 'zone-1' };
+    return { memberId: 'entry-1', incarnation: 'i1', ...address, status: 'active' };
+  }
+  override registered(): readonly Member[] {
+    return [this.self()];
+  }
+  override standing(): MemberStanding {
+    return 'live';
+  }
+}
+
+class CountingGate extends AdmissionGate {
+  running = 0;
+  override admit(): Promise<Admission> {
+    this.running += 1;
+    return Promise.resolve({
+      release: () => {
+        this.running -= 1;
+      },
+    });
+  }
+}
+
+interface Reply {
+  readonly status: number;
+  readonly body: string;
+  readonly headers: IncomingMessage['headers'];
+  /** Whether the answer ended regularly. */
+  readonly isComplete: boolean;
+}
+
+/** One entry instance and its workers in this process. */
+class Site {
+  readonly counters = new MemoryCounters();
+  readonly gate = new CountingGate();
+  readonly table = new MemoryTableService(new TableStore(), clock);
+  readonly marks = new LeavingMarks();
+  isFresh = true;
+  private readonly transport = new UndiciTransport({ clock, counters: this.counters });
+  private readonly claims: Claims;
+  readonly flow: RequestFlow;
+  private constructor(
+    private readonly workers: readonly HttpServer[],
+    fleet: FleetConfiguration,
+  ) {
+    const { counters, marks, transport, table } = this;
+    const common = { clock, counters, logger };
+    const targets = new TargetTable({
+      fleet: () => fleet,
+      marks,
+      availabilityZone: 'zone-1',
+      entryInstances: () => 1,
+      random: Math.random,
+    });
+    this.claims = new Claims({ ...common, table, membership: new OneMember() });
+    this.flow = new RequestFlow({
+      clock,
+      configuration: { fleet: () => fleet, isFresh: () => this.isFresh },
+      admission: this.gate,
+      dispatcher: new FleetDispatcher({ ...common, transport, table: targets, marks, random: Math.random }),
+      claims: this.claims,
+    });
+  }
+  server!: HttpServer;
+
+  static async start(workerCount = 1, closedWorkers = 0): Promise<Site> {
+    const listen = (index: number): Promise<HttpServer> => {
+      const app = workerApp({ clock, instanceId: `w${index}`, serviceMs: 1 });
+      return HttpServer.listen({ app, host: '127.0.0.1', port: 0 });
+    };
+    const workers = await Promise.all(Array.from({ length: workerCount }, (_, index) => listen(index)));
+    const ports = workers.map(({ port }) => port);
+    await Promise.all(workers.slice(0, closedWorkers).map((worker) => worker.close()));
+    const site = new Site(workers.slice(closedWorkers), fleetAt(ports));
+    const { flow, counters } = site;
+    const app = callerApi({ flow, counters, logger, maxBodyBytes: 1_000_000 });
+    site.server = await HttpServer.listen({ app, host: '127.0.0.1', port: 0 });
+    return site;
+  }
+
+  async stop(): Promise<void> {
+    await this.flow.close();
+    await this.server.close();
+    await this.claims.stop(1_000);
+    await this.transport.close();
+    await Promise.all(this.workers.map((worker) => worker.close()));
+  }
+
+  async setFaults(faults: Readonly<Record<string, number>>): Promise<void> {
+    const set = ({ port }: HttpServer): Promise<unknown> =>
+      fetch(`http://127.0.0.1:${port}/faults`, { method: 'POST', body: JSON.stringify(faults) });
+    await Promise.all(this.workers.map(set));
+  }
+
+  async executions(): Promise<readonly Execution[]> {
+    const logs = this.workers.map(async ({ port }) => {
+      const answer = await fetch(`http://127.0.0.1:${port}/stats`);
+      return ((await answer.json()) as { executions: Execution[] }).executions;
+    });
+    return (await Promise.all(logs)).flat();
+  }
+
+  /** Sends a request; `readDelayMs` makes a slow caller, `signal` one that gives up. */
+  async send(
+    method: string,
+    headers: Readonly<Record<string, string>> = {},
+    options: { readonly readDelayMs?: number; readonly signal?: AbortSignal } = {},
+  ): Promise<Reply> {
+    const outgoing = httpRequest({
+      port: this.server.port,
+      host: '127.0.0.1',
+      path: '/v1/queues/quote/hold',
+      method,
+      headers: { authorization: `Bearer ${KEY}`, ...headers },
+      agent: false,
+      ...(options.signal && { signal: options.signal }),
+    });
+    const [answer] = (await once(outgoing.end(), 'response')) as [IncomingMessage];
+    const chunks: Buffer[] = [];
+    try {
+      for await (const chunk of answer) {
+        chunks.push(chunk as Buffer);
+        if (options.readDelayMs !== undefined) await clock.delay(options.readDelayMs);
+      }
+    } catch {
+      // The connection was destroyed; `isComplete` tells.
+    }
+    const body = Buffer.concat(chunks).toString();
+    return { status: answer.statusCode ?? 0, body, headers: answer.headers, isComplete: answer.complete };
+  }
+}
+
+function fleetAt(ports: readonly number[]): FleetConfiguration {
+  const instances = ports.map((port, index) =>
+    instanceSchema.parse({
+      instanceId: `w${index}`,
+      poolId: 'quotes',
+      host: '127.0.0.1',
+      port,
+      availabilityZone: 'zone-1',
+      rack: 'rack-1',
+    }),
+  );
+  return {
+    ...EMPTY_CONFIGURATION,
+    teams: new Map([['desk', { teamId: 'desk', shareWeight: 1, upperLimit: 100 }]]),
+    keys: new Map([['k', { keyId: 'k', teamId: 'desk', keyHashHex: hashKey(KEY) }]]),
+    queues: new Map([['quote', queueSchema.parse({ queueId: 'quote', poolId: 'quotes' })]]),
+    instances: new Map(instances.map((instance) => [instance.instanceId, instance])),
+    instanceStates: new Map(
+      instances.map(({ instanceId, poolId }) => [
+        instanceId,
+        { instanceId, poolId, movingTo: null, state: 'serving' as const, epoch: 0 },
+      ]),
+    ),
+  };
+}
+
+function problem(reply: Reply): { readonly code: number; readonly outcome: string } {
+  const { code, outcome } = JSON.parse(reply.body) as { code: number; outcome: string };
+  return { code, outcome };
+}
+
+let site: Site;
+afterEach(() => site.stop());
+
+describe('the request path', () => {
+  test.each([0, 4])('destroys the connection of a caller whose answer was cut (%p parts)', async (parts) => {
+    site = await Site.start();
+    await site.setFaults({ cut: 1, answerBytes: 50_000, parts });
+    const reply = await site.send('POST', { 'endivestand-deadline-ms': '500' });
+    expect(reply.isComplete).toBe(false);
+    expect(reply.body).not.toContain('Error');
+  });
+
+  test('runs a request that is not idempotent once, whatever happens to its connection', async () => {
+    site = await Site.start(2);
+    await site.setFaults({ reset: -1 });
+    const reply = await site.send('POST', { 'endivestand-deadline-ms': '300' });
+    expect(problem(reply)).toEqual({ code: 3004, outcome: 'may_have_run' });
+    expect(await site.executions()).toHaveLength(1);
+    expect(site.gate.running).toBe(1);
+  });
+
+  test('repeats what surely did not run, and what may be repeated', async () => {
+    site = await Site.start(2);
+    await site.setFaults({ rejectNotRun: 1 });
+    expect((await site.send('POST')).status).toBe(200);
+    expect(await site.executions()).toHaveLength(1);
+    await site.setFaults({ reset: 1 });
+    expect((await site.send('GET', { 'endivestand-deadline-ms': '5000' })).status).toBe(200);
+    const counts = site.counters.snapshot();
+    for (const reason of ['rejected_by_target', 'reset']) {
+      expect(counts.get(`retries:${reason}`)).toBeGreaterThan(0);
+      expect(counts.get(`retries:${reason}`)).toBe(counts.get(`attempts.failed:${reason}`));
+    }
+  });
+
+  test('marks a target that refuses connections and uses the others', async () => {
+    site = await Site.start(3, 1);
+    for (let index = 0; index < 20; index += 1) expect((await site.send('POST')).status).toBe(200);
+    expect(site.counters.snapshot().get('attempts.failed:refused') ?? 0).toBeLessThanOrEqual(1);
+  });
+
+  test('replays the answer to a key instead of running the request again', async () => {
+    site = await Site.start();
+    const first = await site.send('POST', { 'idempotency-key': 'hold-1' });
+    let second = await site.send('POST', { 'idempotency-key': 'hold-1' });
+    while (second.status === 409) second = await site.send('POST', { 'idempotency-key': 'hold-1' });
+    expect(second).toMatchObject({ status: 200, body: first.body });
+    expect(second.headers['endivestand-replayed']).toBe('true');
+    expect(await site.executions()).toHaveLength(1);
+  });
+
+  test('records the answer for a caller that gave up, so that its retry gets it', async () => {
+    site = await Site.start();
+    await site.setFaults({ lateMs: 50 });
+    const caller = new AbortController();
+    const given = site.send('POST', { 'idempotency-key': 'hold-1' }, { signal: caller.signal });
+    given.catch(() => undefined);
+    while ((await site.executions()).length === 0) await clock.delay(2);
+    caller.abort();
+    await expect(given).rejects.toThrow();
+    let retry = await site.send('POST', { 'idempotency-key': 'hold-1' });
+    while (retry.status === 409) retry = await site.send('POST', { 'idempotency-key': 'hold-1' });
+    expect(retry.status).toBe(200);
+    expect(await site.executions()).toHaveLength(1);
+  });
+
+  test('says that an answer is too large to be kept', async () => {
+    site = await Site.start();
+    await site.setFaults({ answerBytes: 20_000 });
+    await site.send('POST', { 'idempotency-key': 'hold-1' });
+    let second = await site.send('POST', { 'idempotency-key': 'hold-1' });
+    while (problem(second).code === 1008) second = await site.send('POST', { 'idempotency-key': 'hold-1' });
+    expect(problem(second)).toEqual({ code: 1010, outcome: 'ran' });
+  });
+
+  test('checks the evidence again after the claim, and frees the key', async () => {
+    site = await Site.start();
+    site.table.faults = { ...site.table.faults, requestDelayMs: 30 };
+    const pending = site.send('POST', { 'idempotency-key': 'hold-1' });
+    while ((site.counters.snapshot().get('claims.transactions') ?? 0) === 0) await clock.delay(1);
+    site.isFresh = false;
+    expect(problem(await pending)).toEqual({ code: 2005, outcome: 'not_run' });
+    expect(await site.executions()).toEqual([]);
+    site.isFresh = true;
+    expect((await site.send('POST', { 'idempotency-key': 'hold-1' })).status).toBe(200);
+  });
+
+  test('refuses a request with a key as not run while the table is down, and serves others', async () => {
+    site = await Site.start();
+    site.table.faults = { ...site.table.faults, down: true };
+    const refused = await site.send('POST', { 'idempotency-key': 'hold-1' });
+    expect(problem(refused)).toEqual({ code: 1012, outcome: 'not_run' });
+    expect((await site.send('POST')).status).toBe(200);
+    expect(await site.executions()).toHaveLength(1);
+  });
+
+  test('cuts nothing at a graceful shutdown: streams and slow callers get their whole answers', async () => {
+    site = await Site.start(2);
+    await site.setFaults({ answerBytes: 400_000, parts: 8, partDelayMs: 10 });
+    const callers = [{}, { readDelayMs: 5 }, {}, { readDelayMs: 20 }].map((options) =>
+      site.send('POST', {}, options),
+    );
+    const keyed = site.send('POST', { 'idempotency-key': 'hold-1' }, { readDelayMs: 5 });
+    while ((await site.executions()).length < 5) await clock.delay(2);
+    const closed = site.flow.close();
+    expect(problem(await site.send('GET'))).toEqual({ code: 2004, outcome: 'not_run' });
+    await closed;
+    // Nothing may run at a target any more, or the member could not be given up at once.
+    expect(site.gate.running).toBe(0);
+    await site.server.close();
+    for (const reply of await Promise.all([...callers, keyed])) {
+      expect(reply).toMatchObject({ status: 200, isComplete: true });
+      expect(JSON.parse(reply.body)).toMatchObject({ path: '/hold' });
+    }
+  });
+});
