Fit the simulations of jobs and waves to the merged dispatcher and gate

Cause: simulations used the admission gate and the counter of attempts that the merged parts have replaced, and a fake configuration lacked untilFresh.

Change: small fakes beside the simulations.

Before: 6 test suites did not compile on the merged state.

Conclusion: admission, dispatch, jobs and maintenance run together.

--- a/bench/_maintenance_member.ts
+++ b/bench/_maintenance_member.ts
@@ -3,7 +3,7 @@
 import { ConfigurationService } from '../config/configuration_service';
 import { EffectBarrier, type PendingCommit } from '../config/effect_barrier';
 import { FENCE_WAIT_MS } from '../config/freshness';
-import { InFlightCounter } from '../dispatch/in_flight';
+import { InFlightCounter } from './_in_flight_counter';
 import type { VirtualClock } from '../kernel/virtual_clock';
 import { InFlightWatch } from '../maintenance/in_flight_watch';
 import { MaintenanceService } from '../maintenance/maintenance_service';
--- a/entry/request_flow.ts
+++ b/entry/request_flow.ts
@@ -58,7 +58,7 @@
 
 export interface RequestFlowOptions {
   readonly clock: Clock;
-  readonly configuration: Pick<ConfigurationService, 'fleet' | 'isFresh'>;
+  readonly configuration: Pick<ConfigurationService, 'fleet' | 'isFresh' | 'untilFresh'>;
   readonly admission: AdmissionGate;
   readonly dispatcher: Dispatcher;
   readonly claims: Claims;
--- a/entry/request_path_test.ts
+++ b/entry/request_path_test.ts
@@ -82,7 +82,11 @@
     this.claims = new Claims({ ...common, table, membership: new OneMember() });
     this.flow = new RequestFlow({
       clock,
-      configuration: { fleet: () => fleet, isFresh: () => this.isFresh },
+      configuration: {
+        fleet: () => fleet,
+        isFresh: () => this.isFresh,
+        untilFresh: () => Promise.resolve(this.isFresh),
+      },
       admission: this.gate,
       dispatcher: new FleetDispatcher({ ...common, transport, table: targets, marks, random: Math.random }),
       claims: this.claims,
--- a/jobs/_placement_simulation.ts
+++ b/jobs/_placement_simulation.ts
@@ -1,5 +1,5 @@
 /** A simulated deployment for the proofs of placement: entry instances, workers, table and membership on one virtual clock. */
-import { LocalAdmissionGate } from '../admission/local_admission_gate';
+
 import { FRESHNESS_MS } from '../config/freshness';
 import { Clock, type Timer } from '../kernel/clock';
 import { VirtualClock } from '../kernel/virtual_clock';
@@ -21,6 +21,7 @@
 import { PlacementRoles } from './placement_roles';
 import { PoolPlacement } from './pool_placement';
 import { UsageModel } from './usage_model';
+import { LimitOnlyGate } from './_limit_only_gate';
 import { WorkerHealth } from './worker_health';
 
 const HEARTBEAT_MS = 400;
@@ -173,7 +174,7 @@
     const leases = new RoleLeases(this.table, this.membership);
     const usage = new UsageModel();
     const health = new WorkerHealth(() => 0.5);
-    const gate = new LocalAdmissionGate(() => this.grants);
+    const gate = new LimitOnlyGate(() => this.grants);
     const logger = Logger.create({ level: 'silent' });
     const shared = { clock: this.process, roles: leases, counters: this.counters, logger };
     this.service = new JobService({
