--- a/config/ticket_service.ts
+++ b/config/ticket_service.ts
@@ -7,6 +7,7 @@
 import { TableOutcomeUnknownError, type Row, type TableService } from '../platform/table_service';
 import type { ConfigurationService } from './configuration_service';
 import type { Change, ConfigurationState } from './change';
+import { ticketDifferences, type FieldDifference } from './ticket_difference';
 import { planTicket } from './ticket_plan';
 
 /** Attempts against operators who keep changing the head first. */
@@ -21,6 +22,8 @@
   readonly superseded: readonly string[];
   /** Objects that the ticket sets or removes, as `kind/id`. */
   readonly changed: readonly string[];
+  /** With a dry run, the fields that would change. */
+  readonly differences?: readonly FieldDifference[];
 }
 
 export interface TicketServiceOptions {
@@ -36,7 +39,8 @@
   /** Shows what a ticket would change. Throws `Refusal` if the ticket is not valid. */
   dryRun(ticket: Ticket): TicketResult {
     const plan = this.plan(this.options.configuration.state(), ticket);
-    return { number: ticket.number, status: 'dry_run', ...describe(plan) };
+    const differences = ticketDifferences(this.options.configuration.state(), plan.change);
+    return { number: ticket.number, status: 'dry_run', ...describe(plan), differences };
   }
 
   /**
@@ -47,7 +51,7 @@
   async apply(ticket: Ticket): Promise<TicketResult> {
     for (let attempt = 1; attempt <= COMMIT_ATTEMPTS; attempt += 1) {
       const earlier = await this.find(ticket.number);
-      if (earlier) return this.repeat(earlier, ticket);
+      if (earlier) return await this.repeat(earlier, ticket);
       const result = await this.commit(ticket);
       if (result) return result;
       await this.options.clock.delay(RETRY_DELAY_MS * attempt);
@@ -105,10 +109,12 @@
     return row ? parseTicket(row) : null;
   }
 
-  private repeat(earlier: Ticket, ticket: Ticket): TicketResult {
+  private async repeat(earlier: Ticket, ticket: Ticket): Promise<TicketResult> {
     if (!isDeepStrictEqual(earlier, ticket)) {
       throw new Refusal(RESULT_CODES.ticketNumberReused, { outcome: 'not_run' });
     }
+    // The first attempt may have been cut short before the ticket was in effect.
+    await this.options.configuration.untilInEffect();
     return { number: ticket.number, status: 'already_accepted', superseded: [], changed: [] };
   }
 }
--- a/entry/entry_plugin.ts
+++ b/entry/entry_plugin.ts
@@ -2,11 +2,13 @@
 import { ADMISSION } from '../admission/admission_gate';
 import { CONFIGURATION } from '../config/configuration_service';
 import { TicketService } from '../config/ticket_service';
+import { CLAIMS } from '../dispatch/claims';
 import { DISPATCHER } from '../dispatch/dispatcher';
 import { JOB_SERVICE } from '../jobs/job_service';
 import type { Kernel } from '../kernel/kernel';
 import { Plugin } from '../kernel/plugin';
 import { pluginRegistry } from '../kernel/plugin_registry';
+import { MAINTENANCE_PROGRESS } from '../maintenance/maintenance_progress';
 import { TABLE } from '../platform/platform_plugin';
 import { COUNTERS, LOGGER, SETTINGS } from '../settings/base_capabilities';
 import { MemoryCounters } from '../telemetry/counters';
@@ -21,7 +23,15 @@
 
 class EntryPlugin extends Plugin {
   override readonly name = 'entry';
-  override readonly requires = ['config', 'membership', 'peers', 'admission', 'dispatch', 'jobs'];
+  override readonly requires = [
+    'config',
+    'membership',
+    'peers',
+    'admission',
+    'dispatch',
+    'jobs',
+    'maintenance',
+  ];
   private kernel: Kernel | null = null;
   private servers: readonly HttpServer[] = [];
   private readonly readiness = new Readiness();
@@ -33,6 +43,7 @@
       configuration: kernel.use(CONFIGURATION),
       admission: kernel.use(ADMISSION),
       dispatcher: kernel.use(DISPATCHER),
+      claims: kernel.use(CLAIMS),
     });
     kernel.provide(REQUEST_FLOW, flow);
     kernel.provide(READINESS, this.readiness);
@@ -91,6 +102,7 @@
       tickets: new TicketService({ clock: kernel.clock, configuration, table: kernel.use(TABLE) }),
       configuration,
       readiness: this.readiness,
+      progress: kernel.use(MAINTENANCE_PROGRESS),
       counters: kernel.use(COUNTERS),
       operatorToken: kernel.use(SETTINGS).operatorToken,
       status: () => this.status(kernel),
