Keep large answers in the object store and test reports of leaving targets

Cause: answers above 16 KiB were not kept although the platform offers an object store, and neither the list poller nor the section for peers had tests.

Tests for the poller and the section.

Conclusion: a retry with the same key gets answers up to 1 MiB.

--- a/dispatch/claim_record.ts
+++ b/dispatch/claim_record.ts
@@ -2,9 +2,13 @@
 import { createHash } from 'node:crypto';
 import { z } from 'zod';
 import type { MemberStanding } from '../membership/membership';
+import type { Headers } from './dispatcher';
+
+/** Larger bodies go to the object store. */
+export const MAX_ROW_BODY_BYTES = 16 * 1024;
 
 /** Larger bodies are not recorded. */
-export const MAX_RECORDED_BYTES = 16 * 1024;
+export const MAX_RECORDED_BYTES = 1024 * 1024;
 
 /** Claims are removed after this time, in milliseconds. */
 export const CLAIM_LIFETIME_MS = 24 * 60 * 60 * 1_000;
@@ -19,26 +23,39 @@
   claimedAtMs: z.number(),
 };
 
-const recordedAnswerSchema = z.object({
+const answerHead = {
   status: z.int(),
   headers: z.record(z.string(), z.union([z.string(), z.array(z.string())])),
-  bodyBase64: z.string(),
-});
+};
+
+const answerRecordSchema = z.union([
+  z.object({ ...answerHead, bodyBase64: z.string() }),
+  z.object({ ...answerHead, objectName: z.string() }),
+]);
 
 /** `claimed`: may be running; `done`: ran, with its answer if that was kept; `unknown`: may have run. */
 export const claimRowSchema = z.discriminatedUnion('state', [
   z.object({ state: z.literal('claimed'), ...claimFields }),
-  z.object({ state: z.literal('done'), ...claimFields, answer: recordedAnswerSchema.nullable() }),
+  z.object({ state: z.literal('done'), ...claimFields, answer: answerRecordSchema.nullable() }),
   z.object({ state: z.literal('unknown'), ...claimFields }),
 ]);
 
 export type ClaimRow = Readonly<z.infer<typeof claimRowSchema>>;
-export type RecordedAnswer = Readonly<z.infer<typeof recordedAnswerSchema>>;
+
+/** An answer as its row keeps it: with the body, or with the name of the object that holds it. */
+export type AnswerRecord = Readonly<z.infer<typeof answerRecordSchema>>;
+
+/** An answer that is recorded or replayed. */
+export interface RecordedAnswer {
+  readonly status: number;
+  readonly headers: Headers;
+  readonly body: Buffer;
+}
 
 /** What a request finds when its key is claimed already. */
 export type ExistingClaim =
   | { readonly kind: 'other_request' }
-  | { readonly kind: 'done'; readonly answer: RecordedAnswer }
+  | { readonly kind: 'done'; readonly answer: AnswerRecord }
   | { readonly kind: 'answer_not_kept' }
   | { readonly kind: 'in_progress' }
   | { readonly kind: 'may_have_run' };
--- a/dispatch/claims.ts
+++ b/dispatch/claims.ts
@@ -6,10 +6,12 @@
 import type { Member, Membership } from '../membership/membership';
 import { Refusal } from '../model/refusal';
 import { RESULT_CODES } from '../model/result_code';
+import type { ObjectStore } from '../platform/object_store';
 import type { Row, TableService } from '../platform/table_service';
 import type { Counters } from '../telemetry/counters';
 import { LOG_EVENTS } from '../telemetry/events_catalogue';
 import type { Logger } from '../telemetry/logger';
+import { AnswerArchive } from './answer_archive';
 import { ClaimJanitor } from './claim_janitor';
 import {
   claimKey,
@@ -17,6 +19,7 @@
   readExisting,
   type ClaimRow,
   type ExistingClaim,
+  type AnswerRecord,
   type RecordedAnswer,
 } from './claim_record';
 import { ClaimWriter, type ClaimUpdateResult } from './claim_writer';
@@ -59,6 +62,7 @@
 export interface ClaimsOptions {
   readonly clock: Clock;
   readonly table: TableService;
+  readonly objects: ObjectStore;
   readonly membership: Membership;
   readonly counters: Counters;
   readonly logger: Logger;
@@ -78,6 +82,7 @@
 export class Claims {
   private readonly writer: ClaimWriter;
   private readonly janitor: ClaimJanitor;
+  private readonly archive: AnswerArchive;
   /** Attempts that wait for their claim or hold one. */
   private readonly active = new Set<string>();
   private readonly records = new Set<Promise<void>>();
@@ -86,6 +91,7 @@
   constructor(private readonly options: ClaimsOptions) {
     const { clock, table } = options;
     this.writer = new ClaimWriter(options);
+    this.archive = new AnswerArchive(options.objects);
     this.janitor = new ClaimJanitor({ clock, table, writer: this.writer });
   }
 
@@ -133,7 +139,7 @@
         if (result.mayBeWritten) this.janitor.watch(attempt.key, attempt.row.attemptId);
         throw this.unavailable('table', result.cause);
       }
-      if (result.row !== null && !this.isOrphan(result.row)) return this.existing(attempt, result.row);
+      if (result.row !== null && !this.isOrphan(result.row)) return await this.existing(attempt, result.row);
       expected = result.row?.version ?? null;
     }
   }
@@ -187,27 +193,36 @@
         this.remove(attempt, version);
       },
       complete: (answer) => {
-        this.record(attempt, version, { ...row, state: 'done', answer });
+        this.track(this.complete(attempt, version, answer));
       },
       leaveUnknown: () => {
-        this.record(attempt, version, { ...row, state: 'unknown' });
+        this.track(this.writeRecord(attempt, version, { ...row, state: 'unknown' }));
       },
     };
     return { kind: 'held', claim };
   }
 
-  private existing(attempt: ClaimAttempt, row: Row): ClaimResult {
+  private async existing(attempt: ClaimAttempt, row: Row): Promise<ClaimResult> {
     const claim = claimRowSchema.parse(row.value);
     const standing = this.options.membership.standing(claim.memberId, claim.incarnation);
     const existing = readExisting(claim, attempt.row.fingerprint, standing);
     this.options.counters.increment('claims.existing', existing.kind);
     if (existing.kind === 'done') {
       this.active.delete(attempt.row.attemptId);
-      return { kind: 'replay', answer: existing.answer };
+      return { kind: 'replay', answer: await this.replay(existing.answer) };
     }
     throw refusalFor(existing);
   }
 
+  private async replay(record: AnswerRecord): Promise<RecordedAnswer> {
+    const answer = await this.archive.load(record).catch((error: unknown) => {
+      const options = { outcome: 'ran', retryAfterS: 1, cause: error } as const;
+      throw new Refusal(RESULT_CODES.platformUnavailable, options);
+    });
+    if (answer === null) throw refusalFor({ kind: 'answer_not_kept' });
+    return answer;
+  }
+
   /** Whether a row is the remains of an attempt of this process that was given up before dispatch. */
   private isOrphan(row: Row): boolean {
     const claim = claimRowSchema.parse(row.value);
@@ -224,8 +239,24 @@
     this.track(removed);
   }
 
-  private record(attempt: ClaimAttempt, version: number | null, value: ClaimRow): void {
-    this.track(this.writeRecord(attempt, version, value));
+  private async complete(
+    attempt: ClaimAttempt,
+    version: number | null,
+    answer: RecordedAnswer | null,
+  ): Promise<void> {
+    const { row } = attempt;
+    const record = answer === null ? null : await this.storeAnswer(row, answer);
+    await this.writeRecord(attempt, version, { ...row, state: 'done', answer: record });
+  }
+
+  /** An answer that cannot be stored is given up: that the request ran must be recorded soon. */
+  private async storeAnswer(row: ClaimRow, answer: RecordedAnswer): Promise<AnswerRecord | null> {
+    try {
+      return await this.archive.store(answer, row.attemptId, row.claimedAtMs);
+    } catch {
+      this.options.counters.increment('claims.answer_not_stored');
+      return null;
+    }
   }
 
   /** Tries until the table answers: until then others are told that the request is in progress. */
--- a/dispatch/dispatch_plugin.ts
+++ b/dispatch/dispatch_plugin.ts
@@ -6,6 +6,7 @@
 import { MEMBERSHIP } from '../membership/membership';
 import { PEER_EXCHANGE } from '../peers/exchange';
 import { INSTANCE_LIST } from '../platform/instance_list';
+import { OBJECT_STORE } from '../platform/object_store';
 import { TABLE } from '../platform/platform_plugin';
 import { COUNTERS, LOGGER, SETTINGS } from '../settings/base_capabilities';
 import { ClaimSweep } from './claim_sweep';
@@ -41,7 +42,12 @@
     this.setUpDispatcher(kernel, marks, transport);
     kernel.use(PEER_EXCHANGE).addSection(new LeavingSection({ ...common, marks }));
     const table = kernel.use(TABLE);
-    const claims = new Claims({ ...common, table, membership: kernel.use(MEMBERSHIP) });
+    const claims = new Claims({
+      ...common,
+      table,
+      objects: kernel.use(OBJECT_STORE),
+      membership: kernel.use(MEMBERSHIP),
+    });
     kernel.provide(CLAIMS, claims);
     const configuration = kernel.use(CONFIGURATION);
     const teamIds = (): readonly string[] => [...configuration.fleet().teams.keys()];
--- /dev/null
+++ b/dispatch/leaving_reports_test.ts
@@ -0,0 +1,84 @@
+import { VirtualClock } from '../kernel/virtual_clock';
+import { InstanceList, PlatformUnavailableError, type InstanceListing } from '../platform/instance_list';
+import { MemoryCounters } from '../telemetry/counters';
+import { Logger } from '../telemetry/logger';
+import { InstanceListPoller } from './instance_list_poller';
+import { LeavingMarks } from './leaving_marks';
+import { LeavingSection } from './leaving_section';
+
+const peer = { memberId: 'p', incarnation: 'p-1' };
+
+class ScriptedList extends InstanceList {
+  listing: InstanceListing | null = null;
+  override list(): Promise<InstanceListing> {
+    if (this.listing === null) return Promise.reject(new PlatformUnavailableError('down'));
+    return Promise.resolve(this.listing);
+  }
+}
+
+function parts() {
+  const clock = new VirtualClock();
+  const counters = new MemoryCounters();
+  const marks = new LeavingMarks();
+  return { clock, counters, marks, section: new LeavingSection({ clock, marks, counters }) };
+}
+
+describe('InstanceListPoller', () => {
+  test('marks a leaving target within a second of its listing, and goes on without a list', async () => {
+    const { clock, counters, marks } = parts();
+    const list = new ScriptedList();
+    const logger = Logger.create({ level: 'silent' });
+    const poller = new InstanceListPoller({ clock, list, marks, counters, logger });
+    await poller.start();
+    expect(counters.snapshot().get('instance_list.read_failed')).toBe(1);
+    expect(marks.isLeaving('w0', 0)).toBe(false);
+    list.listing = { lagMs: 0, instances: [{ instanceId: 'w0', bootId: 'b1', state: 'leaving' }] };
+    await clock.advanceAsync(1_000, 100);
+    expect(marks.isLeaving('w0', clock.monotonicMs())).toBe(true);
+    list.listing = null;
+    await clock.advanceAsync(5_000, 100);
+    expect(marks.isLeaving('w0', clock.monotonicMs())).toBe(true);
+    poller.stop();
+  });
+});
+
+describe('LeavingSection', () => {
+  test('tells a peer of a refused connection with the next exchange, and the peer believes it', () => {
+    const teller = parts();
+    const hearer = parts();
+    expect(teller.section.outgoing(peer)).toBeUndefined();
+    teller.marks.markRefused('w0', 0);
+    hearer.section.incoming(peer, JSON.parse(JSON.stringify(teller.section.outgoing(peer))));
+    expect(hearer.marks.isLeaving('w0', 0)).toBe(true);
+  });
+
+  test('does not hold a new mark back until the next repetition', () => {
+    const { clock, marks, section } = parts();
+    marks.markRefused('w0', 0);
+    section.outgoing(peer);
+    clock.advance(3_000);
+    marks.markRefused('w1', 3_000);
+    expect(section.outgoing(peer)).toHaveLength(2);
+  });
+
+  test('repeats old marks rarely, but before peers drop them', () => {
+    const { clock, marks, section } = parts();
+    marks.markRefused('w0', 0);
+    const sent: number[] = [];
+    for (let nowMs = 0; nowMs < 60_000; nowMs += 500) {
+      if (section.outgoing(peer) !== undefined) sent.push(nowMs);
+      clock.advance(500);
+    }
+    expect(sent.at(-1)).toBeGreaterThan(45_000);
+    const gaps = sent.slice(1).map((atMs, index) => atMs - (sent[index] ?? 0));
+    expect(Math.max(...gaps)).toBeLessThan(30_000);
+    expect(sent.length).toBeLessThan(15);
+  });
+
+  test('rejects and counts malformed reports', () => {
+    const { counters, marks, section } = parts();
+    section.incoming(peer, [{ instanceId: 7 }]);
+    expect(counters.snapshot().get('peers.section_rejected:leaving')).toBe(1);
+    expect(marks.isLeaving('w0', 0)).toBe(false);
+  });
+});
--- a/entry/answer_recorder.ts
+++ b/entry/answer_recorder.ts
@@ -2,7 +2,7 @@
 import { PassThrough, type Readable } from 'node:stream';
 import { MAX_RECORDED_BYTES } from '../dispatch/claim_record';
 import type { HeldClaim } from '../dispatch/claims';
-import type { Headers, TargetAnswer } from '../dispatch/dispatcher';
+import type { TargetAnswer } from '../dispatch/dispatcher';
 
 /** Returns the body for the caller. The answer is read to its end even if the caller goes away. */
 export function recordAnswer(answer: TargetAnswer, claim: HeldClaim): Readable {
@@ -20,8 +20,9 @@
   output.on('close', () => source.resume());
   source.once('end', () => {
     isComplete = true;
-    const bodyBase64 = kept.base64();
-    claim.complete(bodyBase64 === null ? null : { ...recordedHead(answer), bodyBase64 });
+    const { status, headers } = answer;
+    const body = kept.whole();
+    claim.complete(body === null ? null : { status, headers, body });
     output.end();
   });
   source.once('close', () => {
@@ -34,26 +35,17 @@
 
 /** Collects a body up to the size that is recorded. */
 class KeptBody {
-  private chunks: readonly Buffer[] = [];
+  private readonly chunks: Buffer[] = [];
   private lengthBytes = 0;
 
   append(chunk: Buffer): void {
     this.lengthBytes += chunk.byteLength;
-    this.chunks = this.lengthBytes <= MAX_RECORDED_BYTES ? [...this.chunks, chunk] : [];
+    if (this.lengthBytes <= MAX_RECORDED_BYTES) this.chunks.push(chunk);
+    else this.chunks.splice(0);
   }
 
   /** `null` if the body is too large. */
-  base64(): string | null {
-    return this.lengthBytes <= MAX_RECORDED_BYTES ? Buffer.concat(this.chunks).toString('base64') : null;
+  whole(): Buffer | null {
+    return this.lengthBytes <= MAX_RECORDED_BYTES ? Buffer.concat(this.chunks) : null;
   }
 }
-
-function recordedHead(answer: TargetAnswer): { status: number; headers: Record<string, string | string[]> } {
-  return { status: answer.status, headers: copyHeaders(answer.headers) };
-}
-
-function copyHeaders(headers: Headers): Record<string, string | string[]> {
-  return Object.fromEntries(
-    Object.entries(headers).map(([name, value]) => [name, typeof value === 'string' ? value : [...value]]),
-  );
-}
--- a/entry/request_flow.ts
+++ b/entry/request_flow.ts
@@ -155,9 +155,8 @@
     });
     if (result.kind === 'replay') {
       admission.release();
-      const { status, headers, bodyBase64 } = result.answer;
-      const body = Readable.from([Buffer.from(bodyBase64, 'base64')]);
-      return { status, headers: { ...headers, [REPLAYED_HEADER]: 'true' }, body };
+      const { status, headers, body } = result.answer;
+      return { status, headers: { ...headers, [REPLAYED_HEADER]: 'true' }, body: Readable.from([body]) };
     }
     const { claim } = result;
     try {
