--- a/bench/maintenance_simulation.ts
+++ b/bench/maintenance_simulation.ts
@@ -15,6 +15,8 @@
 
 const EXCHANGE_MS = 500;
 const STEP_MS = 100;
+const LOAD_INTERVAL_MS = 1_000;
+const LOAD_DURATION_MS = 6_000;
 /** Silence after which the others fence a member, in milliseconds. */
 const SILENCE_MS = 5_000;
 /** A commit may follow its decision by this long, in milliseconds: the time limit of one call to the table. */
@@ -30,6 +32,8 @@
   readonly lagMs: number;
   readonly rebootMs: number;
   readonly newPolicy: () => WavePolicy;
+  /** Every member begins work on one instance a second. */
+  readonly hasLoad?: boolean;
 }
 
 /**
@@ -101,6 +105,7 @@
       await settlePromises();
       this.trackDowntime();
       if (this.clock.monotonicMs() % EXCHANGE_MS === 0) this.exchange();
+      if (this.options.hasLoad === true && this.clock.monotonicMs() % LOAD_INTERVAL_MS === 0) this.load();
     }
   }
 
@@ -173,6 +178,15 @@
     );
   }
 
+  /** Begins work on instances in turn; about two pieces run on each at any moment. */
+  private load(): void {
+    const second = Math.floor(this.clock.monotonicMs() / LOAD_INTERVAL_MS);
+    for (const index of this.members.keys()) {
+      const target = this.instances[(second * 4 + index * 3) % this.instances.length];
+      if (target) this.beginWork(index, target.instanceId, LOAD_DURATION_MS);
+    }
+  }
+
   private exchange(): void {
     const nowMs = this.clock.monotonicMs();
     for (const member of this.members) {
--- /dev/null
+++ b/maintenance/availability_ledger_test.ts
@@ -0,0 +1,74 @@
+import { instanceStateSchema, poolSchema } from '../model/fleet';
+import { byInstance, lossesOf, mayTake, SAME_BOOT_SETTLE_MS, settleEntries } from './availability_ledger';
+import type { AvailabilityInput, LedgerEntry } from './availability_ledger';
+import { LIST_MAX_AGE_MS, observeListing, type PlatformView } from './platform_view';
+
+const IDS = ['i1', 'i2', 'i3'];
+
+function listing(
+  bootIds: Readonly<Record<string, string>>,
+  atMs: number,
+  previous: PlatformView | null = null,
+) {
+  const instances = Object.entries(bootIds).map(([instanceId, bootId]) => ({
+    instanceId,
+    bootId,
+    state: 'live' as const,
+  }));
+  return observeListing(previous, { lagMs: 0, instances }, atMs);
+}
+
+function input(view: PlatformView, nowMs: number, entries: readonly LedgerEntry[] = []): AvailabilityInput {
+  const states = IDS.map((instanceId) =>
+    instanceStateSchema.parse({ instanceId, poolId: 'a', state: 'serving', epoch: 0 }),
+  );
+  return {
+    poolId: 'a',
+    fleet: {
+      pools: new Map([['a', poolSchema.parse({ poolId: 'a', maxUnavailable: 1 })]]),
+      instanceStates: new Map(states.map((state) => [state.instanceId, state])),
+    },
+    entries: byInstance(entries),
+    view,
+    nowMs,
+  };
+}
+
+describe('availability ledger', () => {
+  const all = { i1: 'b1', i2: 'b1', i3: 'b1' };
+  const gone = listing({ i1: 'b1', i2: 'b1' }, 1_000, listing(all, 0));
+
+  test('a permission counts instances that are missing from the list', () => {
+    expect(mayTake(input(listing(all, 0), 0), 'i1')).toBe(true);
+    expect(mayTake(input(gone, 1_000), 'i1')).toBe(false);
+    expect([...lossesOf(input(gone, 1_000))]).toEqual([['i3', 'unplanned']]);
+  });
+
+  test('a permission needs a list that is recent, its stated lag included', () => {
+    const lagging = observeListing(
+      null,
+      { lagMs: 2_000, instances: [...listing(all, 0).instances.values()] },
+      10_000,
+    );
+    expect(mayTake(input(lagging, 8_000 + LIST_MAX_AGE_MS), 'i1')).toBe(true);
+    expect(mayTake(input(lagging, 8_001 + LIST_MAX_AGE_MS), 'i1')).toBe(false);
+  });
+
+  test('a lost instance counts as lost until it is listed under a new boot id or has settled', () => {
+    const entries = [...settleEntries(input(gone, 1_000)).values()];
+    expect(entries).toEqual([
+      expect.objectContaining({ instanceId: 'i3', bootId: 'b1', cause: 'unplanned' }),
+    ]);
+    const flapping = listing(all, 2_000, gone);
+    expect(settleEntries(input(flapping, 2_000, entries)).size).toBe(1);
+    const rebooted = listing({ ...all, i3: 'b2' }, 2_000, gone);
+    expect(settleEntries(input(rebooted, 2_000, entries)).size).toBe(0);
+    const settledMs = 2_000 + SAME_BOOT_SETTLE_MS;
+    const settled = listing(all, settledMs, flapping);
+    expect(settleEntries(input(settled, settledMs, entries)).size).toBe(0);
+  });
+
+  test('a list that arrives late does not replace a newer one', () => {
+    expect(listing(all, 500, gone)).toBe(gone);
+  });
+});
--- a/maintenance/maintenance_properties_test.ts
+++ b/maintenance/maintenance_properties_test.ts
@@ -13,6 +13,7 @@
   zones: 3,
   lagMs: 1_500,
   rebootMs: 8_000,
+  hasLoad: true,
 };
 const RECOVERY_MS = 900_000;
 
