--- a/admission/share_policy.ts
+++ b/admission/share_policy.ts
@@ -15,24 +15,28 @@
   readonly nowMs: number;
   /** One head per team and class; only teams that may start work. Never empty. */
   readonly heads: readonly [WaitingHead, ...WaitingHead[]];
-  /** Slots to which a team is entitled on this member. */
-  readonly entitled: (teamId: string) => number;
+  /** Slots that this member may fill. */
+  readonly slots: number;
+  readonly weightOf: (teamId: string) => number;
+  /** Running work of a team in this pool on all peers, as last reported. */
+  readonly runningOnPeers: (teamId: string) => number;
 }
 
 /** What a start was charged, to be corrected when the work ends. */
 export interface Charge {
   readonly teamId: string;
   readonly estimateMs: number;
-  readonly slots: number;
+  readonly weight: number;
 }
 
 /** Chooses the next request of one pool. */
 export abstract class SharePolicy {
-  abstract select(view: PolicyView): WaitingHead;
+  /** The next request, or `null` to leave the slot free. */
+  abstract select(view: PolicyView): WaitingHead | null;
 
   /** Called for every start. */
   started(head: WaitingHead, view: PolicyView): Charge {
-    return { teamId: head.teamId, estimateMs: 0, slots: view.entitled(head.teamId) };
+    return { teamId: head.teamId, estimateMs: 0, weight: view.weightOf(head.teamId) };
   }
 
   /** Called when started work has ended after `ranMs` milliseconds. */
--- a/dispatch/in_flight.ts
+++ b/bench/_in_flight_counter.ts
@@ -1,13 +1,5 @@
-/** Number of attempts in progress per target. */
-import { capability } from '../kernel/capability';
-
-/** What this entry instance has in progress on targets. */
-export abstract class InFlightCounts {
-  /** Attempts on the instance that may still run there. */
-  abstract count(instanceId: string): number;
-}
-
-export const IN_FLIGHT = capability<InFlightCounts>('dispatch.in_flight');
+/** Attempts in progress per target, for simulations. */
+import { InFlightWork } from '../dispatch/dispatcher';
 
 /**
  * Counts attempts from the choice of the target to the end of the response.
@@ -15,14 +7,14 @@
  * @example
  * ```ts
  * const end = counter.begin('worker-1');
- * counter.count('worker-1'); // 1
+ * counter.inFlight('worker-1'); // 1
  * end();
  * ```
  */
-export class InFlightCounter extends InFlightCounts {
+export class InFlightCounter extends InFlightWork {
   private readonly counts = new Map<string, number>();
 
-  override count(instanceId: string): number {
+  override inFlight(instanceId: string): number {
     return this.counts.get(instanceId) ?? 0;
   }
 
@@ -37,7 +29,7 @@
   }
 
   private add(instanceId: string, amount: number): void {
-    const next = this.count(instanceId) + amount;
+    const next = this.inFlight(instanceId) + amount;
     if (next > 0) this.counts.set(instanceId, next);
     else this.counts.delete(instanceId);
   }
--- a/bench/fake_fleet.ts
+++ b/bench/fake_fleet.ts
@@ -22,6 +22,7 @@
         availabilityZone: `zone-${(index % 3) + 1}`,
         rack: `rack-${Math.floor(index / 4) + 1}`,
         slots: options.slots,
+        connections: 64,
       }),
     ),
   );
--- a/maintenance/in_flight_watch.ts
+++ b/maintenance/in_flight_watch.ts
@@ -1,6 +1,6 @@
 /** Finds out when no entry instance has work running on an instance. */
 import { z } from 'zod';
-import type { InFlightCounts } from '../dispatch/in_flight';
+import type { InFlightWork } from '../dispatch/dispatcher';
 import type { Clock } from '../kernel/clock';
 import { STANDING_WAIT_MS } from '../membership/ended_incarnations';
 import type { Membership } from '../membership/membership';
@@ -19,7 +19,7 @@
 
 export interface InFlightWatchOptions {
   readonly clock: Clock;
-  readonly counts: InFlightCounts;
+  readonly counts: InFlightWork;
   readonly membership: Membership;
   readonly fleet: () => FleetConfiguration;
 }
@@ -42,8 +42,8 @@
     const { counts, fleet } = this.options;
     const { revision, instanceStates } = fleet();
     const busy = [...instanceStates.values()]
-      .filter(({ state, instanceId }) => state !== 'serving' && counts.count(instanceId) > 0)
-      .map(({ instanceId }) => [instanceId, counts.count(instanceId)] as const);
+      .filter(({ state, instanceId }) => state !== 'serving' && counts.inFlight(instanceId) > 0)
+      .map(({ instanceId }) => [instanceId, counts.inFlight(instanceId)] as const);
     return { revision, inFlight: Object.fromEntries(busy) };
   }
 
@@ -76,7 +76,7 @@
 
   private isLocallyQuiet(entry: LedgerEntry, revision: number): boolean {
     const { fleet, counts } = this.options;
-    return fleet().revision >= revision && counts.count(entry.instanceId) === 0;
+    return fleet().revision >= revision && counts.inFlight(entry.instanceId) === 0;
   }
 
   private isReportedQuiet(member: PeerIdentity, entry: LedgerEntry): boolean {
--- a/maintenance/maintenance_plugin.ts
+++ b/maintenance/maintenance_plugin.ts
@@ -1,7 +1,7 @@
 /** Provides the progress of waves and runs maintenance. */
 import { randomUUID } from 'node:crypto';
 import { CONFIGURATION } from '../config/configuration_service';
-import { IN_FLIGHT } from '../dispatch/in_flight';
+import { IN_FLIGHT_WORK } from '../dispatch/dispatcher';
 import type { Kernel } from '../kernel/kernel';
 import { Plugin } from '../kernel/plugin';
 import { pluginRegistry } from '../kernel/plugin_registry';
@@ -32,7 +32,7 @@
     const membership = kernel.use(MEMBERSHIP);
     const watch = new InFlightWatch({
       clock: kernel.clock,
-      counts: kernel.use(IN_FLIGHT),
+      counts: kernel.use(IN_FLIGHT_WORK),
       membership,
       fleet,
     });
