--- a/entry/entry_plugin.ts
+++ b/entry/entry_plugin.ts
@@ -9,6 +9,7 @@
 import { Plugin } from '../kernel/plugin';
 import { pluginRegistry } from '../kernel/plugin_registry';
 import { MAINTENANCE_PROGRESS } from '../maintenance/maintenance_progress';
+import { MEMBERSHIP } from '../membership/membership';
 import { TABLE } from '../platform/platform_plugin';
 import { COUNTERS, LOGGER, SETTINGS } from '../settings/base_capabilities';
 import { MemoryCounters } from '../telemetry/counters';
@@ -101,6 +102,7 @@
     return operatorApi({
       tickets: new TicketService({ clock: kernel.clock, configuration, table: kernel.use(TABLE) }),
       configuration,
+      membership: kernel.use(MEMBERSHIP),
       readiness: this.readiness,
       progress: kernel.use(MAINTENANCE_PROGRESS),
       counters: kernel.use(COUNTERS),
--- a/entry/operator_api.ts
+++ b/entry/operator_api.ts
@@ -4,6 +4,7 @@
 import type { ConfigurationService } from '../config/configuration_service';
 import type { TicketService } from '../config/ticket_service';
 import type { MaintenanceProgress } from '../maintenance/maintenance_progress';
+import type { Membership } from '../membership/membership';
 import { Refusal } from '../model/refusal';
 import { RESULT_CODES } from '../model/result_code';
 import { ticketSchema, type Ticket } from '../model/ticket';
@@ -15,6 +16,7 @@
 export interface OperatorApiOptions {
   readonly tickets: TicketService;
   readonly configuration: ConfigurationService;
+  readonly membership: Membership;
   readonly readiness: Readiness;
   readonly progress: MaintenanceProgress;
   readonly counters: Counters;
@@ -52,6 +54,7 @@
     app.get(`/v1/${kind}`, (context) => context.json({ [kind]: [...configuration.fleet()[kind].values()] }));
   }
   app.get('/v1/waves', async (context) => context.json({ waves: await options.progress.waves() }));
+  app.get('/v1/members', (context) => context.json({ members: options.membership.registered() }));
   app.get('/v1/instances', (context) => {
     const { instances, instanceStates } = configuration.fleet();
     const list = [...instances.values()].map((instance) => ({
