--- a/membership/membership_service.ts
+++ b/membership/membership_service.ts
@@ -162,14 +162,20 @@
   private async tick(): Promise<void> {
     const silences = this.observeSilence();
     this.noticeEndedWaits();
-    const newestEpoch = this.options.configuration.guard.newest().membershipEpoch;
-    if (this.snapshot === null || this.snapshot.head.membershipEpoch < newestEpoch) await this.refresh();
+    if (this.needsRefresh()) await this.refresh();
     const { address } = this;
     if (address !== null && this.mayRegister()) await this.work(() => this.register(address));
     else if (this.canActivate()) await this.work(() => this.activate());
     else if (this.isTableUp()) await this.work(() => this.fenceSilent(silences));
   }
 
+  /** Activation does not raise the epoch, so the rows of joining members are read until they are active. */
+  private needsRefresh(): boolean {
+    const newestEpoch = this.options.configuration.guard.newest().membershipEpoch;
+    if (this.snapshot === null || this.snapshot.head.membershipEpoch < newestEpoch) return true;
+    return this.peerRows().some(({ status }) => status === 'joining');
+  }
+
   private observeSilence(): readonly Silence[] {
     const { clock, network, configuration } = this.options;
     return this.silence.observe({
--- /dev/null
+++ b/membership/membership_service_test.ts
@@ -0,0 +1,207 @@
+import { FENCE_WAIT_MS, FRESHNESS_MS } from '../config/freshness';
+import { VirtualClock } from '../kernel/virtual_clock';
+import { RESULT_CODES } from '../model/result_code';
+import { ticketSchema } from '../model/ticket';
+import { MAX_WORK_MS } from './membership';
+import { SimulatedDeployment, type SimulatedMember } from './simulated_deployment';
+
+const STEP_MS = 20;
+
+async function started(count: number): Promise<SimulatedDeployment> {
+  const deployment = new SimulatedDeployment(new VirtualClock());
+  for (let index = 1; index <= count; index += 1) deployment.start(`m${index}`);
+  await deployment.clock.advanceAsync(4_000, STEP_MS);
+  return deployment;
+}
+
+function memberOf(deployment: SimulatedDeployment, index: number): SimulatedMember {
+  const member = deployment.members[index];
+  if (member === undefined) throw new Error(`There is no member ${index}.`);
+  return member;
+}
+
+function statuses(deployment: SimulatedDeployment, from = 0): Readonly<Record<string, string>> {
+  const rows = memberOf(deployment, from).membership.registered();
+  return Object.fromEntries(rows.map(({ memberId, status }) => [memberId, status]));
+}
+
+const fresh = (deployment: SimulatedDeployment): readonly boolean[] =>
+  deployment.members.map(({ configuration }) => configuration.isFresh());
+
+const ticket = ticketSchema.parse({
+  number: 1,
+  set: { teams: [{ teamId: 'a', shareWeight: 1, upperLimit: 1 }] },
+});
+
+beforeEach(() => {
+  jest.spyOn(Math, 'random').mockReturnValue(0.5);
+});
+
+afterEach(() => {
+  jest.restoreAllMocks();
+});
+
+describe('MembershipService', () => {
+  test('members become active, and a ticket is in effect without the fence wait', async () => {
+    const deployment = await started(3);
+    expect(deployment.members.every((member) => member.isActive())).toBe(true);
+    const applied = memberOf(deployment, 0).tickets.apply(ticket);
+    await deployment.clock.advanceAsync(200, STEP_MS);
+    expect(await applied).toMatchObject({ status: 'in_effect' });
+    expect(deployment.members.map(({ configuration }) => configuration.head().revision)).toEqual([1, 1, 1]);
+    expect(fresh(deployment)).toEqual([true, true, true]);
+  });
+
+  test('a silent member is fenced, its standing ends after the wait, and it registers again on waking', async () => {
+    const deployment = await started(3);
+    const silent = memberOf(deployment, 2);
+    const observer = memberOf(deployment, 0);
+    const incarnation = silent.membership.self()?.incarnation ?? '';
+    silent.pause();
+    await deployment.clock.advanceAsync(4_500, STEP_MS);
+    expect(observer.membership.standing('m3', incarnation)).toBe('live');
+    await deployment.clock.advanceAsync(2_500, STEP_MS);
+    expect(observer.membership.standing('m3', incarnation)).toBe('fencing');
+    silent.resume(() => {
+      expect(silent.configuration.isFresh()).toBe(false);
+    });
+    await deployment.clock.advanceAsync(5_000, STEP_MS);
+    expect(silent.isActive()).toBe(true);
+    expect(silent.membership.self()?.incarnation).not.toBe(incarnation);
+    expect(observer.membership.standing('m3', incarnation)).toBe('fencing');
+    await deployment.clock.advanceAsync(FENCE_WAIT_MS + MAX_WORK_MS, 100);
+    expect(observer.membership.standing('m3', incarnation)).toBe('ended');
+    expect(observer.membership.standing('m3', 'unknown')).toBe('ended');
+  });
+
+  test('neither waking from a pause nor the end of an outage fences the others', async () => {
+    const deployment = await started(3);
+    memberOf(deployment, 0).pause();
+    await deployment.clock.advanceAsync(4_000, STEP_MS);
+    memberOf(deployment, 0).resume();
+    await deployment.clock.advanceAsync(2_000, STEP_MS);
+    expect(statuses(deployment)).toEqual({ m1: 'active', m2: 'active', m3: 'active' });
+    deployment.setTableDown(true);
+    deployment.wires.setCut('m1', 'm2', true);
+    deployment.wires.setCut('m1', 'm3', true);
+    await deployment.clock.advanceAsync(20_000, 100);
+    deployment.wires.setCut('m1', 'm2', false);
+    deployment.wires.setCut('m1', 'm3', false);
+    deployment.setTableDown(false);
+    await deployment.clock.advanceAsync(5_000, STEP_MS);
+    expect(
+      deployment.members.map(({ counters }) => counters.snapshot().get('membership.fenced:silent')),
+    ).toEqual([undefined, undefined, undefined]);
+  });
+
+  test('a pair that is cut from each other is not fenced while a third member hears both', async () => {
+    const deployment = await started(3);
+    deployment.wires.setCut('m1', 'm2', true);
+    await deployment.clock.advanceAsync(10_000, 100);
+    expect(statuses(deployment, 2)).toEqual({ m1: 'active', m2: 'active', m3: 'active' });
+    expect(memberOf(deployment, 0).counters.snapshot().get('membership.fence_withheld')).toBeGreaterThan(0);
+  });
+
+  test('a member that the platform no longer lists is fenced before the silence limit', async () => {
+    const deployment = await started(2);
+    memberOf(deployment, 1).pause();
+    const instances = [{ instanceId: 'm1', bootId: 'b', state: 'live' as const }];
+    deployment.listing = { lagMs: 0, instances };
+    await deployment.clock.advanceAsync(3_000, STEP_MS);
+    expect(statuses(deployment)).toEqual({ m1: 'active' });
+  });
+
+  test('a joining member accepts no tickets until every registered member has seen it', async () => {
+    const deployment = await started(2);
+    memberOf(deployment, 1).pause();
+    const joining = deployment.start('m3');
+    await deployment.clock.advanceAsync(2_000, STEP_MS);
+    expect(joining.membership.self()?.status).toBe('joining');
+    await expect(joining.tickets.apply(ticket)).rejects.toMatchObject({ result: RESULT_CODES.notActive });
+    memberOf(deployment, 1).resume();
+    await deployment.clock.advanceAsync(2_000, STEP_MS);
+    expect(joining.isActive()).toBe(true);
+  });
+
+  test('a new process at the same address takes over; the old one does not take the row back', async () => {
+    const deployment = await started(2);
+    const old = memberOf(deployment, 1);
+    const incarnation = old.membership.self()?.incarnation ?? '';
+    old.pause();
+    const successor = deployment.start('m2');
+    await deployment.clock.advanceAsync(6_000, STEP_MS);
+    old.resume();
+    await deployment.clock.advanceAsync(3_000, STEP_MS);
+    expect([old.configuration.isFresh(), successor.isActive()]).toEqual([false, true]);
+    expect(memberOf(deployment, 0).membership.standing('m2', incarnation)).toBe('fencing');
+    expect(old.counters.snapshot().get('membership.lost:id_in_use')).toBe(1);
+  });
+
+  test('after all others died, a restarted member fences them and accepts tickets', async () => {
+    const deployment = await started(3);
+    for (const member of deployment.members) member.pause();
+    const successor = deployment.start('m1');
+    await deployment.clock.advanceAsync(12_000, STEP_MS);
+    expect(successor.isActive()).toBe(true);
+    expect(statuses(deployment, 3)).toEqual({ m1: 'active' });
+  });
+
+  test('a member that stops has left, which needs no wait', async () => {
+    const deployment = await started(2);
+    const incarnation = memberOf(deployment, 1).membership.self()?.incarnation ?? '';
+    const stopped = memberOf(deployment, 1).kernel.stop();
+    await deployment.clock.advanceAsync(1_000, STEP_MS);
+    await stopped;
+    expect(memberOf(deployment, 0).membership.standing('m2', incarnation)).toBe('ended');
+    expect(fresh(deployment)[0]).toBe(true);
+  });
+});
+
+describe('table outage', () => {
+  test('members that all reach each other stay fresh, and stop within the freshness period of a cut', async () => {
+    const deployment = await started(3);
+    deployment.setTableDown(true);
+    for (let step = 0; step < 300; step += 1) {
+      await deployment.clock.advanceAsync(100, STEP_MS);
+      expect(fresh(deployment)).toEqual([true, true, true]);
+    }
+    deployment.wires.setCut('m1', 'm2', true);
+    await deployment.clock.advanceAsync(FRESHNESS_MS + STEP_MS, STEP_MS);
+    // The third member still has the promises of both.
+    expect(fresh(deployment)).toEqual([false, false, true]);
+    deployment.setTableDown(false);
+    await deployment.clock.advanceAsync(2_000, STEP_MS);
+    expect(fresh(deployment)).toEqual([true, true, true]);
+  });
+
+  test('a member cut off from the table alone lives on evidence that its peers forward', async () => {
+    const deployment = await started(3);
+    const { service } = memberOf(deployment, 0).table;
+    service.faults = { ...service.faults, down: true };
+    deployment.wires.setCut('m1', 'm2', true);
+    await deployment.clock.advanceAsync(4_000, STEP_MS);
+    expect(fresh(deployment)).toEqual([true, true, true]);
+  });
+
+  test('a commit of unknown outcome ends the promises of its member until the outcome is known', async () => {
+    const deployment = await started(3);
+    const committer = memberOf(deployment, 0);
+    committer.table.lateMs = [8_000];
+    committer.table.onLate = () => {
+      deployment.setTableDown(true);
+    };
+    const applied = committer.tickets.apply(ticket).catch((error: unknown) => error);
+    await deployment.clock.advanceAsync(FRESHNESS_MS + 600, STEP_MS);
+    expect(fresh(deployment)).toEqual([false, false, false]);
+    await deployment.clock.advanceAsync(2_000, STEP_MS);
+    expect(await applied).toMatchObject({ result: RESULT_CODES.ticketOutcomeUnknown });
+    deployment.setTableDown(false);
+    await deployment.clock.advanceAsync(8_000, STEP_MS);
+    expect(fresh(deployment)).toEqual([true, true, true]);
+    // The head was rewritten when the table came back, so the late transaction had no effect.
+    expect(deployment.store.read({ keys: ['ticket_number/1'] })).toEqual([]);
+    deployment.setTableDown(true);
+    await deployment.clock.advanceAsync(4_000, STEP_MS);
+    expect(fresh(deployment)).toEqual([true, true, true]);
+  });
+});
