--- a/membership/membership_service_test.ts
+++ b/membership/membership_service_test.ts
@@ -157,6 +157,26 @@
   });
 });
 
+test('a ticket after a fence waits for the evidence of the fenced member', async () => {
+  const deployment = await started(3);
+  const [committer, , cutOff] = deployment.members;
+  if (committer === undefined || cutOff === undefined) throw new Error('Three members are expected.');
+  cutOff.table.service.faults = { ...cutOff.table.service.faults, down: true };
+  for (const other of ['m1', 'm2']) deployment.wires.setCut('m3', other, true);
+  const instances = ['m1', 'm2'].map((instanceId) => ({ instanceId, bootId: 'b', state: 'live' as const }));
+  deployment.listing = { lagMs: 0, instances };
+  while (statuses(deployment).m3 !== undefined) await deployment.clock.advanceAsync(STEP_MS, STEP_MS);
+  expect(cutOff.configuration.isFresh()).toBe(true);
+  const progress = { done: false };
+  const applied = committer.tickets.apply(ticket).then((result) => {
+    progress.done = true;
+    expect(cutOff.configuration.isFresh()).toBe(false);
+    return result;
+  });
+  while (!progress.done) await deployment.clock.advanceAsync(STEP_MS, STEP_MS);
+  expect(await applied).toMatchObject({ status: 'in_effect' });
+});
+
 describe('table outage', () => {
   test('members that all reach each other stay fresh, and stop within the freshness period of a cut', async () => {
     const deployment = await started(3);
