--- a/membership/membership_service_test.ts
+++ b/membership/membership_service_test.ts
@@ -215,6 +215,7 @@
     expect(fresh(deployment)).toEqual([false, false, false]);
     await deployment.clock.advanceAsync(2_000, STEP_MS);
     expect(await applied).toMatchObject({ result: RESULT_CODES.ticketOutcomeUnknown });
+    expect(fresh(deployment)).toEqual([false, false, false]);
     deployment.setTableDown(false);
     await deployment.clock.advanceAsync(8_000, STEP_MS);
     expect(fresh(deployment)).toEqual([true, true, true]);
