Test overtaken reads, the age of evidence and newcomers during an outage

Cause: with the mechanism disabled, the tests so far still passed for a read that a commit overtakes, for evidence aged from the end of a read or from the arrival of an answer, and for a newcomer that fences members it never met.

Change: one deterministic test for each of them.

Figures: each new test failed with its mechanism disabled, and passes with it.

--- a/config/configuration_service_test.ts
+++ b/config/configuration_service_test.ts
@@ -101,11 +101,9 @@
     let slow: Promise<void> = Promise.resolve();
     const changed = service.change((state) => {
       // Starts after the read of the change and before its commit.
-      void Promise.resolve().then(() => {
-        table.holdMs = 500;
-        slow = service.refresh();
-        table.holdMs = 0;
-      });
+      table.holdMs = 500;
+      slow = service.refresh();
+      table.holdMs = 0;
       return addTeam(state);
     });
     await settlePromises();
@@ -116,6 +114,20 @@
     expect(service.fleet().teams.has('a')).toBe(true);
   });
 
+  test('the age of evidence counts from the start of a read, and from when a peer was asked', async () => {
+    const { clock, table, service, exchange } = setUp();
+    await service.refresh();
+    table.holdMs = 1_500;
+    const slow = service.refresh();
+    await settlePromises();
+    await clock.advanceAsync(1_500);
+    await slow;
+    expect(service.guard.tableEvidenceAgeMs()).toBe(1_500);
+    await clock.advanceAsync(300);
+    exchange.incoming({ memberId: 'p', incarnation: 'i' }, [0, 0, 200, 0], clock.monotonicMs() - 700);
+    expect(service.guard.tableEvidenceAgeMs()).toBe(900);
+  });
+
   test('a committed change is in use, and reported, even if the table cannot be read afterwards', async () => {
     const { table, service } = setUp();
     await service.refresh();
--- a/membership/membership_service_test.ts
+++ b/membership/membership_service_test.ts
@@ -146,6 +146,17 @@
     expect(statuses(deployment, 3)).toEqual({ m1: 'active' });
   });
 
+  test('a newcomer does not fence members that live on the promises of each other', async () => {
+    const deployment = await started(2);
+    deployment.setTableDown(true);
+    const newcomer = deployment.start('m3');
+    for (const other of ['m1', 'm2']) deployment.wires.setCut('m3', other, true);
+    await deployment.clock.advanceAsync(15_000, STEP_MS);
+    expect(fresh(deployment).slice(0, 2)).toEqual([true, true]);
+    expect(newcomer.membership.self()?.status).toBe('joining');
+    expect(statuses(deployment, 2)).toEqual({ m1: 'active', m2: 'active', m3: 'joining' });
+  });
+
   test('a member that stops has left, which needs no wait', async () => {
     const deployment = await started(2);
     const incarnation = memberOf(deployment, 1).membership.self()?.incarnation ?? '';
