Guard placement against partitions and show each rule at work

Cause: the proof did not reach partitions in which the old holder still commands a worker that the new one cannot reach, and team limits were never tight in it; the merge of the admission gate removed the class that the simulation used.

--- a/jobs/_placement_simulation.ts
+++ b/jobs/_placement_simulation.ts
@@ -1,10 +1,12 @@
 /** A simulated deployment for the proofs of placement: entry instances, workers, table and membership on one virtual clock. */
-import { LocalAdmissionGate } from '../admission/local_admission_gate';
+import { AdmissionGate, type Admission, type AdmissionRequest } from '../admission/admission_gate';
 import { FRESHNESS_MS } from '../config/freshness';
 import { Clock, type Timer } from '../kernel/clock';
 import { VirtualClock } from '../kernel/virtual_clock';
 import { Membership, type Member, type MemberStanding } from '../membership/membership';
 import type { FleetConfiguration } from '../model/fleet';
+import { Refusal } from '../model/refusal';
+import { RESULT_CODES } from '../model/result_code';
 import { MemoryTableService, NO_TABLE_FAULTS } from '../platform/memory_table_service';
 import { MemoryWorkerControl } from '../platform/memory_worker_control';
 import { TableStore } from '../platform/table_store';
@@ -80,6 +82,30 @@
   }
 }
 
+/** Admits while fewer units of a team hold an admission than its grant allows, and refuses at once otherwise. */
+class GrantGate extends AdmissionGate {
+  private readonly running = new Map<string, number>();
+
+  constructor(private readonly grants: () => FleetConfiguration) {
+    super();
+  }
+
+  override admit(request: AdmissionRequest): Promise<Admission> {
+    const teamId = request.teamId ?? '';
+    const running = this.running.get(teamId) ?? 0;
+    if (running >= (this.grants().teams.get(teamId)?.upperLimit ?? 0)) {
+      return Promise.reject(new Refusal(RESULT_CODES.limitUnavailable, { outcome: 'not_run' }));
+    }
+    this.running.set(teamId, running + 1);
+    let held = true;
+    const release = (): void => {
+      if (held) this.running.set(teamId, (this.running.get(teamId) ?? 0) - 1);
+      held = false;
+    };
+    return Promise.resolve({ release });
+  }
+}
+
 interface MemberRow {
   readonly member: Member;
   readonly heardMs: number;
@@ -173,7 +199,7 @@
     const leases = new RoleLeases(this.table, this.membership);
     const usage = new UsageModel();
     const health = new WorkerHealth(() => 0.5);
-    const gate = new LocalAdmissionGate(() => this.grants);
+    const gate = new GrantGate(() => this.grants);
     const logger = Logger.create({ level: 'silent' });
     const shared = { clock: this.process, roles: leases, counters: this.counters, logger };
     this.service = new JobService({
--- a/jobs/job_ledger.ts
+++ b/jobs/job_ledger.ts
@@ -99,7 +99,6 @@
     } catch (error) {
       if (!(error instanceof TableUnavailableError || error instanceof TableOutcomeUnknownError)) throw error;
       this.options.counters.increment('jobs.write_failed', error.name);
-      this.seen.delete(next.jobId);
       return false;
     }
   }
--- a/jobs/job_ledger_test.ts
+++ b/jobs/job_ledger_test.ts
@@ -52,6 +52,16 @@
     expect(ledger.get('a')?.state).toBe('placed');
   });
 
+  test('a cancellation requested during a flow is not overwritten by it', async () => {
+    const { store, ledger } = await setUp();
+    ledger.claim('a');
+    const stored = await store.read('a');
+    if (stored) await store.update(stored, { ...stored.job, cancelRequested: true });
+    await ledger.refresh();
+    expect(await ledger.write(testJob('a', { state: 'placed' }))).toBe(false);
+    expect(ledger.get('a')?.cancelRequested).toBe(true);
+  });
+
   test('leaves claimed jobs alone and reports those that have ended', async () => {
     const { store, ledger } = await setUp();
     ledger.claim('a');
--- a/jobs/placement_proof_test.ts
+++ b/jobs/placement_proof_test.ts
@@ -7,7 +7,8 @@
 import { isTerminal } from './job';
 import { SAFE_END_WAIT_MS } from './worker_link';
 
-const LIMIT = 6;
+/** Small, so that admissions run short. */
+const LIMIT = 2;
 
 interface World {
   readonly simulation: PlacementSimulation;
@@ -177,7 +178,7 @@
           entries: 2,
           workers: 3,
           // The plan alone would allow more; what counts is that every task has an admission.
-          upperLimit: 4 * LIMIT,
+          upperLimit: 10 * LIMIT,
           grantOfEach: LIMIT / 2,
         });
         const world: World = { simulation, submitted: [] };
--- a/jobs/pool_placement_test.ts
+++ b/jobs/pool_placement_test.ts
@@ -1,4 +1,5 @@
 import { NO_TABLE_FAULTS } from '../platform/memory_table_service';
+import { NO_WORKER_FAULTS } from '../platform/memory_worker_control';
 import { PlacementSimulation } from './_placement_simulation';
 import { testFleet } from './_test_fleet';
 
@@ -42,7 +43,12 @@
     });
     await simulation.advance(60_000);
     const run = simulation.intervals().find(({ jobId }) => jobId === urgent);
-    expect((run?.fromMs ?? Infinity) - submittedMs).toBeLessThan(3_000);
+    if (run === undefined) throw new Error('The urgent job did not start.');
+    expect(run.fromMs - submittedMs).toBeLessThan(3_000);
+    const beside = simulation
+      .intervals()
+      .filter((other) => other.host === run.host && other.jobId !== urgent);
+    expect(beside.filter(({ fromMs, endMs }) => fromMs < run.endMs && endMs > run.fromMs)).toEqual([]);
     expect(ids.map((id) => simulation.job(id)?.state)).toEqual(['done', 'done', 'done']);
     const worked = simulation.intervals().filter(({ jobId }) => ids.includes(jobId));
     const totalMs = worked.reduce((sum, { fromMs, endMs }) => sum + endMs - fromMs, 0);
@@ -55,11 +61,11 @@
     const { control, counters } = simulation.entry(0);
     const before = control.commands;
     await Promise.all(ids.map((id) => simulation.entry(0).service.cancel(id, 'red-key')));
-    await simulation.advance(2_000);
+    await simulation.advance(300);
     expect(new Set(ids.map((id) => simulation.job(id)?.state))).toEqual(new Set(['cancelled']));
     expect(simulation.intervals().filter(({ toMs }) => toMs === null)).toEqual([]);
-    // Two seconds of regular renewals, and one more message to each of the three workers.
-    expect(control.commands - before).toBeLessThanOrEqual(9);
+    // A regular renewal and one more message for each of the three workers.
+    expect(control.commands - before).toBeLessThanOrEqual(6);
     expect(counters.snapshot().get('jobs.task_ended:stopped')).toBe(12);
   });
 
@@ -117,6 +123,50 @@
     expect(running()).toBe(1);
   });
 
+  test('a new holder waits for tasks on a worker that only the old holder reaches', async () => {
+    const simulation = await started({ entries: 2 });
+    const [jobId = ''] = await submitMany(simulation, 1, { payload: payload(12_000) });
+    const holder = simulation.entries.find(({ roles }) => roles.heldPools().length > 0);
+    const other = simulation.entries.find((entry) => entry !== holder);
+    if (!holder || !other) throw new Error('Nobody holds the role.');
+    const [first] = simulation.intervals();
+    other.control.faults = { ...NO_WORKER_FAULTS, unreachable: new Set([first?.host ?? '']) };
+    holder.table.faults = { ...NO_TABLE_FAULTS, down: true };
+    simulation.fence(holder.memberId);
+    await simulation.advance(40_000);
+    const runs = simulation.intervals();
+    expect(runs).toHaveLength(2);
+    expect(runs[1]?.fromMs).toBeGreaterThanOrEqual(runs[0]?.endMs ?? Infinity);
+    expect(simulation.job(jobId)).toMatchObject({ state: 'done', losses: 1 });
+  });
+
+  test('an urgent job that lacks only processors throttles batch work until it has ended', async () => {
+    const simulation = await started({ workers: 1 });
+    const batch = { priority: 'batch' as const, processors: 32, payload: payload(4_000) };
+    const [slow = ''] = await submitMany(simulation, 1, batch);
+    await submitMany(simulation, 1, { priority: 'urgent', processors: 16, payload: payload(3_000) });
+    expect(simulation.intervals().filter(({ toMs }) => toMs === null)).toHaveLength(2);
+    await simulation.advance(12_000);
+    expect(simulation.job(slow)).toMatchObject({ state: 'done', attempt: 1 });
+    const ranMs = simulation.intervals().map(({ fromMs, endMs }) => endMs - fromMs);
+    // Three seconds at a quarter of the speed cost 2.25 s; at a quarter to the end it would take over 12 s.
+    expect(ranMs[0]).toBeGreaterThan(6_000);
+    expect(ranMs[0]).toBeLessThan(7_500);
+  });
+
+  test('tasks on a worker that is drained move to another', async () => {
+    const simulation = await started();
+    const [jobId = ''] = await submitMany(simulation, 1, { payload: payload(8_000) });
+    const drained = simulation.intervals()[0]?.host ?? '';
+    const states = new Map(simulation.fleet.instanceStates);
+    const state = states.get(drained);
+    if (state) states.set(drained, { ...state, state: 'draining', epoch: 1 });
+    simulation.fleet = { ...simulation.fleet, instanceStates: states };
+    await simulation.advance(12_000);
+    expect(simulation.job(jobId)).toMatchObject({ state: 'done', attempt: 2 });
+    expect(simulation.intervals()[1]?.host).not.toBe(drained);
+  });
+
   test('a stopping holder checkpoints its tasks and gives the role back', async () => {
     const simulation = await started({ entries: 2 });
     const [jobId = ''] = await submitMany(simulation, 1, { payload: payload(10_000) });
