--- a/admission/pool_line.ts
+++ b/admission/pool_line.ts
@@ -7,6 +7,12 @@
 /** Age at which the division of the slots is computed again, in milliseconds. */
 const SHARE_AGE_MS = 100;
 
+/**
+ * Part of the slots by which a pool may be overfilled while the division
+ * changes; without it, slots stand empty until the next exchange.
+ */
+const TRANSITION_PART = 1 / 16;
+
 /** A waiting request and what settles it. */
 export interface LineItem {
   readonly request: AdmissionRequest;
@@ -28,6 +34,11 @@
   readonly selfId: string;
   /** Last counts of the live peers in this pool. */
   readonly peers: ReadonlyMap<string, TeamCounts>;
+  /**
+   * Counts of this member as its peers know them: with newer ones, each member
+   * would count on slots that the others count on as well.
+   */
+  readonly published: TeamCounts;
   readonly mayStart: (teamId: string) => boolean;
 };
 
@@ -96,13 +107,15 @@
   private hasFreeSlot(around: LineSurroundings): boolean {
     if (this.totalRunning >= this.slots) return false;
     const ofPeers = [...around.peers.values()].reduce((sum, teams) => sum + runningOf(teams), 0);
-    return this.totalRunning + ofPeers < around.slots;
+    return (
+      this.totalRunning + ofPeers < around.slots + Math.max(1, Math.floor(around.slots * TRANSITION_PART))
+    );
   }
 
   private updateShare(around: LineSurroundings): void {
     if (around.nowMs < this.shareUntilMs) return;
     this.shareUntilMs = around.nowMs + SHARE_AGE_MS;
-    const members = new Map([...around.peers, [around.selfId, this.counts()]]);
+    const members = new Map([...around.peers, [around.selfId, around.published]]);
     this.slots = shareSlots({ ...around, members });
   }
 
--- a/entry/request_flow.ts
+++ b/entry/request_flow.ts
@@ -58,7 +58,7 @@
 
 export interface RequestFlowOptions {
   readonly clock: Clock;
-  readonly configuration: Pick<ConfigurationService, 'fleet' | 'isFresh'>;
+  readonly configuration: Pick<ConfigurationService, 'fleet' | 'isFresh' | 'untilFresh'>;
   readonly admission: AdmissionGate;
   readonly dispatcher: Dispatcher;
   readonly claims: Claims;
@@ -162,9 +162,8 @@
     });
     if (result.kind === 'replay') {
       admission.release();
-      const { status, headers, bodyBase64 } = result.answer;
-      const body = Readable.from([Buffer.from(bodyBase64, 'base64')]);
-      return { status, headers: { ...headers, [REPLAYED_HEADER]: 'true' }, body };
+      const { status, headers, body } = result.answer;
+      return { status, headers: { ...headers, [REPLAYED_HEADER]: 'true' }, body: Readable.from([body]) };
     }
     const { claim } = result;
     try {
