Let waves wait for tasks, and give task faults a path of their own

Cause: a wave waited for requests only, so a reboot could end a batch task before it was checkpointed; two routes of the worker stand-in shared one path, and the first hid the second. A job took a request slot of its pool.

Change: maintenance counts the tasks that placement knows on an instance together with the requests in progress. Faults of tasks are set by POST /task-faults.

Conclusion: a drain ends when requests and tasks have ended.

--- a/admission/admission_gate.ts
+++ b/admission/admission_gate.ts
@@ -11,6 +11,11 @@
   readonly priority: Priority;
   /** On the local monotonic clock, in milliseconds. */
   readonly deadlineAtMs: number;
+  /**
+   * Whether the work takes one of the pool's request slots; by default it does.
+   * Tasks of jobs are sized by processors and memory instead.
+   */
+  readonly occupiesSlot?: boolean;
   /** Aborted when the caller is gone. */
   readonly signal: AbortSignal;
 }
--- a/jobs/jobs_plugin.ts
+++ b/jobs/jobs_plugin.ts
@@ -16,6 +16,7 @@
 import { JobStore } from './job_store';
 import { PlacementRoles, type PlacementTerm } from './placement_roles';
 import { PoolPlacement } from './pool_placement';
+import { TASKS_IN_FLIGHT, TasksInFlight } from './tasks_in_flight';
 import { UsageModel } from './usage_model';
 import { WorkerHealth } from './worker_health';
 
@@ -48,6 +49,7 @@
     kernel.events.subscribe(JOB_CHANGED, ({ poolId }) => {
       roles.jobsChanged(poolId);
     });
+    kernel.provide(TASKS_IN_FLIGHT, new TasksInFlight(roles));
     this.store = store;
     this.roles = roles;
   }
--- a/jobs/placement_roles.ts
+++ b/jobs/placement_roles.ts
@@ -85,6 +85,11 @@
     this.held.get(poolId)?.placement.jobsChanged();
   }
 
+  /** Tasks that this entry instance has running on an instance. */
+  tasksOn(instanceId: string): number {
+    return [...this.held.values()].reduce((sum, { placement }) => sum + placement.tasksOn(instanceId), 0);
+  }
+
   /** Pools whose role is held here. */
   heldPools(): readonly string[] {
     return [...this.held.keys()];
--- a/jobs/pool_placement.ts
+++ b/jobs/pool_placement.ts
@@ -121,6 +121,11 @@
     this.schedule(0);
   }
 
+  /** Tasks that run on an instance as far as this holder knows. */
+  tasksOn(instanceId: string): number {
+    return this.ledger.jobs().filter((job) => isOnWorker(job.state) && job.instanceId === instanceId).length;
+  }
+
   /** Looks at the jobs soon, because one was submitted or cancelled here. */
   jobsChanged(): void {
     this.nextRefreshMs = 0;
--- a/jobs/task_admissions.ts
+++ b/jobs/task_admissions.ts
@@ -39,6 +39,7 @@
         teamId: job.teamId,
         queue,
         priority: job.priority,
+        occupiesSlot: false,
         deadlineAtMs: clock.monotonicMs() + patienceMs,
         signal: abort.signal,
       });
--- /dev/null
+++ b/jobs/tasks_in_flight.ts
@@ -0,0 +1,17 @@
+/** Tasks in progress per instance, for maintenance. */
+import { InFlightWork } from '../dispatch/dispatcher';
+import { capability } from '../kernel/capability';
+import type { PlacementRoles } from './placement_roles';
+
+export const TASKS_IN_FLIGHT = capability<InFlightWork>('jobs.tasks_in_flight');
+
+/** Counts the tasks that the placement roles of this entry instance have on a worker. */
+export class TasksInFlight extends InFlightWork {
+  constructor(private readonly roles: PlacementRoles) {
+    super();
+  }
+
+  override inFlight(instanceId: string): number {
+    return this.roles.tasksOn(instanceId);
+  }
+}
--- a/maintenance/maintenance_plugin.ts
+++ b/maintenance/maintenance_plugin.ts
@@ -2,6 +2,8 @@
 import { randomUUID } from 'node:crypto';
 import { CONFIGURATION } from '../config/configuration_service';
 import { IN_FLIGHT_WORK } from '../dispatch/dispatcher';
+import { TASKS_IN_FLIGHT } from '../jobs/tasks_in_flight';
+import { CombinedInFlight } from './combined_in_flight';
 import type { Kernel } from '../kernel/kernel';
 import { Plugin } from '../kernel/plugin';
 import { pluginRegistry } from '../kernel/plugin_registry';
@@ -22,7 +24,7 @@
 
 class MaintenancePlugin extends Plugin {
   override readonly name = 'maintenance';
-  override readonly requires = ['platform', 'config', 'membership', 'peers', 'dispatch'];
+  override readonly requires = ['platform', 'config', 'membership', 'peers', 'dispatch', 'jobs'];
   private service: MaintenanceService | null = null;
 
   override setUp(kernel: Kernel): void {
@@ -32,7 +34,7 @@
     const membership = kernel.use(MEMBERSHIP);
     const watch = new InFlightWatch({
       clock: kernel.clock,
-      counts: kernel.use(IN_FLIGHT_WORK),
+      counts: new CombinedInFlight([kernel.use(IN_FLIGHT_WORK), kernel.use(TASKS_IN_FLIGHT)]),
       membership,
       fleet,
     });
--- a/standins/task_app.ts
+++ b/standins/task_app.ts
@@ -1,4 +1,4 @@
-/** Routes with which a worker stand-in runs tasks; `POST /faults` sets what goes wrong. */
+/** Routes with which a worker stand-in runs tasks; `POST /task-faults` sets what goes wrong. */
 import { Hono, type Context } from 'hono';
 import type { Clock } from '../kernel/clock';
 import { TaskHost, taskHostFaultsSchema } from '../platform/task_host';
@@ -27,7 +27,7 @@
 export function taskApp(options: TaskAppOptions): Hono {
   const app = new Hono();
   const host = new TaskHost(options.clock);
-  app.post('/faults', async (context) => {
+  app.post('/task-faults', async (context) => {
     host.faults = taskHostFaultsSchema.parse(await context.req.json());
     return context.json(host.faults);
   });
