Write no grant on an old view of the membership; record the measurements

Cause: a member whose view was out of date could take a member that joined meanwhile for one that has ended and drop its grant from the row.

Change: grants are planned only while the configuration and membership in use are known to be current, and only by an active member.

Seen failing: without the check, a member cut off for 3 s wrote a row (1 write instead of 0). The random limit property did not catch it.

--- a/admission/grant_keeper.ts
+++ b/admission/grant_keeper.ts
@@ -39,6 +39,12 @@
   readonly counters: Counters;
   readonly membership: Membership;
   readonly exchange: PeerExchange;
+  /**
+   * Whether the configuration and the membership in use are known to be
+   * current. A row must not be written on an older view: it could drop the
+   * grant of a member that joined meanwhile.
+   */
+  readonly isFresh: () => boolean;
   readonly configuredLimit: (teamId: string) => ConfiguredLimit;
   /** This member's part of the limit while the members together need more; otherwise `Infinity`. */
   readonly part: (teamId: string) => number;
@@ -144,7 +150,8 @@
   /** The registered incarnation. After a change, the running work counts against the new one's grants. */
   private self(): GrantHolder | null {
     const self = this.options.membership.self();
-    if (self === null) return null;
+    // Until a member is active, others may not know it and would drop its grants.
+    if (self?.status !== 'active') return null;
     if (self.incarnation !== this.incarnation) {
       if (this.incarnation !== null) {
         this.formerIncarnations = new Set([...this.formerIncarnations, this.incarnation]);
@@ -182,7 +189,8 @@
     if (entry.busy !== null) return entry.busy;
     const self = this.self();
     const nowMs = this.options.clock.monotonicMs();
-    if (self === null || (!isUrgent && nowMs < entry.retryAtMs)) return Promise.resolve();
+    if (self === null || !this.options.isFresh() || (!isUrgent && nowMs < entry.retryAtMs))
+      return Promise.resolve();
     const around = this.surroundings(teamId, self);
     const step = entry.grant.nextStep(around, isUrgent ? 0 : SHORTAGE_RETRY_MS * this.spread());
     this.askPeers(teamId, entry, around);
--- a/admission/limits_test.ts
+++ b/admission/limits_test.ts
@@ -172,4 +172,15 @@
       { numRuns: 14, seed: 20_261_204, endOnFailure: true },
     );
   }, 120_000);
+
+  test('a member with an old view of the membership writes no row, since it may drop a newer grant', async () => {
+    const { deployment } = new LimitRun(4);
+    const [member] = deployment.members;
+    if (member === undefined) throw new Error('A member was expected.');
+    member.cutOff = true;
+    await deployment.clock.advanceAsync(3_000, STEP_MS);
+    member.service.keeper.setNeed('a', 2);
+    await deployment.clock.advanceAsync(500, STEP_MS);
+    expect(member.table.calls.writes).toBe(0);
+  });
 });
--- a/bench/fake_deployment.ts
+++ b/bench/fake_deployment.ts
@@ -57,6 +57,8 @@
       };
       return member;
     });
+    // The first members know each other from the start.
+    for (const member of this.members) member.poll();
   }
 
   /** Puts a configuration into the head; members see it with their next poll. */
--- a/bench/fake_member.ts
+++ b/bench/fake_member.ts
@@ -2,7 +2,7 @@
 import { AdmissionService } from '../admission/admission_service';
 import type { Admission, AdmissionRequest } from '../admission/admission_gate';
 import type { SharePolicy } from '../admission/share_policy';
-import { FRESHNESS_MS } from '../config/freshness';
+import { FENCE_WAIT_MS, FRESHNESS_MS } from '../config/freshness';
 import { EventLoop } from '../kernel/event_loop';
 import type { VirtualClock } from '../kernel/virtual_clock';
 import { EMPTY_CONFIGURATION, type FleetConfiguration } from '../model/fleet';
@@ -131,12 +131,21 @@
     });
   }
 
+  /** The first members start as active; later ones wait until every view that lacks them has expired. */
   private register(): void {
-    this.membership.become(this.options.list.register(this.memberId));
+    const member = this.options.list.register(this.memberId);
+    if (this.clock.monotonicMs() === 0) {
+      this.membership.become(member);
+      return;
+    }
+    this.membership.become({ ...member, status: 'joining' });
+    this.clock.schedule(FENCE_WAIT_MS, () => {
+      if (this.membership.self()?.incarnation === member.incarnation) this.membership.become(member);
+    });
   }
 
   /** Takes in the configuration and notices a fence; a fenced member registers again at the next poll. */
-  private poll(): void {
+  poll(): void {
     if (this.cutOff) return;
     const self = this.membership.self();
     if (self === null) this.register();
@@ -145,6 +154,7 @@
       return;
     }
     this.freshAsOfMs = this.clock.monotonicMs();
+    this.membership.refresh();
     const published = this.options.published();
     if (published === this.view) return;
     this.view = published;
--- a/bench/fake_membership.ts
+++ b/bench/fake_membership.ts
@@ -49,11 +49,17 @@
 /** One member's view; `self` stays until the member learns that it was fenced. */
 export class FakeMembership extends Membership {
   private member: Member | null = null;
+  private seen: readonly Member[] = [];
 
   constructor(private readonly list: FakeMemberList) {
     super();
   }
 
+  /** Takes in the list; in between, the view is that of the last call. */
+  refresh(): void {
+    this.seen = this.list.all();
+  }
+
   become(member: Member | null): void {
     this.member = member;
   }
@@ -63,10 +69,13 @@
   }
 
   override registered(): readonly Member[] {
-    return this.list.all();
+    return this.seen;
   }
 
   override standing(memberId: string, incarnation: string): MemberStanding {
-    return this.list.standing(memberId, incarnation);
+    if (this.seen.some((member) => member.incarnation === incarnation)) return 'live';
+    // A member that joined after the last call is not known here.
+    const standing = this.list.standing(memberId, incarnation);
+    return standing === 'live' ? 'ended' : standing;
   }
 }
