--- a/bench/maintenance_simulation.ts
+++ b/bench/maintenance_simulation.ts
@@ -15,6 +15,8 @@
 
 const EXCHANGE_MS = 500;
 const STEP_MS = 100;
+const LOAD_INTERVAL_MS = 1_000;
+const LOAD_DURATION_MS = 6_000;
 /** Silence after which the others fence a member, in milliseconds. */
 const SILENCE_MS = 5_000;
 /** A commit may follow its decision by this long, in milliseconds: the time limit of one call to the table. */
@@ -30,6 +32,8 @@
   readonly lagMs: number;
   readonly rebootMs: number;
   readonly newPolicy: () => WavePolicy;
+  /** Every member begins work on one instance a second. */
+  readonly hasLoad?: boolean;
 }
 
 /**
@@ -101,6 +105,7 @@
       await settlePromises();
       this.trackDowntime();
       if (this.clock.monotonicMs() % EXCHANGE_MS === 0) this.exchange();
+      if (this.options.hasLoad === true && this.clock.monotonicMs() % LOAD_INTERVAL_MS === 0) this.load();
     }
   }
 
@@ -173,6 +178,15 @@
     );
   }
 
+  /** Begins work on instances in turn; about two pieces run on each at any moment. */
+  private load(): void {
+    const second = Math.floor(this.clock.monotonicMs() / LOAD_INTERVAL_MS);
+    for (const index of this.members.keys()) {
+      const target = this.instances[(second * 4 + index * 3) % this.instances.length];
+      if (target) this.beginWork(index, target.instanceId, LOAD_DURATION_MS);
+    }
+  }
+
   private exchange(): void {
     const nowMs = this.clock.monotonicMs();
     for (const member of this.members) {
@@ -204,6 +218,8 @@
   private checkChange(before: InstanceState, after: InstanceState): void {
     if (before.poolId !== after.poolId && (before.state !== 'moving' || before.movingTo !== after.poolId))
       this.violations.push(`${after.instanceId} left pool ${before.poolId} without moving`);
+    if (before.poolId !== after.poolId && this.isWorking(after.instanceId))
+      this.violations.push(`${after.instanceId} left pool ${before.poolId} with work in progress`);
     if (before.state !== 'serving' || after.state === 'serving') return;
     const pool = this.store.object(`config/pools/${after.poolId}`) as Pool;
     const out = this.store
@@ -225,10 +241,12 @@
     const state = this.store.states().find((candidate) => candidate.instanceId === instanceId);
     if (state?.state !== 'rebooting')
       this.violations.push(`${instanceId} was rebooted while ${state?.state ?? 'unknown'}`);
-    const running = (this.work.get(instanceId) ?? []).filter(
-      ({ untilMs }) => untilMs > this.clock.monotonicMs(),
-    );
-    if (running.length > 0) this.violations.push(`${instanceId} was rebooted with work in progress`);
+    if (this.isWorking(instanceId)) this.violations.push(`${instanceId} was rebooted with work in progress`);
+  }
+
+  private isWorking(instanceId: string): boolean {
+    const nowMs = this.clock.monotonicMs();
+    return (this.work.get(instanceId) ?? []).some(({ untilMs }) => untilMs > nowMs);
   }
 
   private writeConfiguration(): void {
