--- a/jobs/_placement_simulation.ts
+++ b/jobs/_placement_simulation.ts
@@ -1,5 +1,4 @@
 /** A simulated deployment for the proofs of placement: entry instances, workers, table and membership on one virtual clock. */
-
 import { FRESHNESS_MS } from '../config/freshness';
 import { Clock, type Timer } from '../kernel/clock';
 import { VirtualClock } from '../kernel/virtual_clock';
@@ -13,6 +12,7 @@
 import { RoleLeases } from '../roles/role_lease';
 import { MemoryCounters } from '../telemetry/counters';
 import { Logger } from '../telemetry/logger';
+import { LimitOnlyGate } from './_limit_only_gate';
 import { testFleet, type TestFleetOptions } from './_test_fleet';
 import { BestFitPlacement } from './best_fit_placement';
 import { jobRequestSchema, type Job, type JobRequest } from './job';
@@ -21,7 +21,6 @@
 import { PlacementRoles } from './placement_roles';
 import { PoolPlacement } from './pool_placement';
 import { UsageModel } from './usage_model';
-import { LimitOnlyGate } from './_limit_only_gate';
 import { WorkerHealth } from './worker_health';
 
 const HEARTBEAT_MS = 400;
