Admit tasks against the upper limit only

Cause: every job took one of the pool's request slots. With 8 slots to a worker, batch jobs could hold them all, and an urgent job then waited for a slot before it could push batch work aside.

Change: tasks wait in a line of their own in which only the limits and grants of the teams count; their size is placement's matter.

Conclusion: requests and jobs share the limits of a team, not the slots.

--- a/admission/fair_admission_gate.ts
+++ b/admission/fair_admission_gate.ts
@@ -19,6 +19,12 @@
 
 const TICK_MS = 50;
 
+/** Lines of work that takes no slot; ids of pools contain no colon. */
+const TASK_LINE_PREFIX = 'tasks:';
+
+/** More than any pool has; a finite number keeps the division of slots exact. */
+const UNBOUNDED_SLOTS = 1_000_000;
+
 /** Waiting requests per team and pool; at a few tens of milliseconds each, more would miss most deadlines. */
 export const MOST_WAITING_PER_TEAM = 512;
 
@@ -78,7 +84,7 @@
 
   /** Starts what may start now, in all pools. */
   pumpAll(): void {
-    for (const poolId of this.lines.keys()) this.pump(poolId);
+    for (const lineId of this.lines.keys()) this.pump(lineId);
   }
 
   /** The division of slots may have changed. */
@@ -87,9 +93,9 @@
     this.pumpAll();
   }
 
-  /** Running and waiting work per pool and team. */
+  /** Running and waiting work on slots per pool and team. */
   counts(): PoolCounts {
-    const busy = [...this.lines].filter(([, line]) => !line.isIdle());
+    const busy = [...this.lines].filter(([lineId, line]) => !isTaskLine(lineId) && !line.isIdle());
     return new Map(busy.map(([poolId, line]) => [poolId, line.counts()]));
   }
 
@@ -104,7 +110,7 @@
       const limit = fleet().teams.get(teamId)?.upperLimit ?? 0;
       if (limit === 0 || keeper.isOutOfReach(teamId)) return 'limitUnavailable';
     }
-    const waiting = this.line(request.queue.poolId).queue.count(teamId ?? NO_TEAM);
+    const waiting = this.line(lineOf(request)).queue.count(teamId ?? NO_TEAM);
     return waiting >= mostWaitingPerTeam ? 'queueFull' : null;
   }
 
@@ -113,8 +119,8 @@
     resolve: (admission: Admission) => void,
     reject: (refusal: Refusal) => void,
   ): void {
-    const { poolId } = request.queue;
-    const line = this.line(poolId);
+    const lineId = lineOf(request);
+    const line = this.line(lineId);
     const onAbort = (): void => {
       if (line.queue.remove(waiting)) item.refuse('cancelled');
       this.updateNeed(waiting.teamId);
@@ -123,7 +129,7 @@
       request,
       start: (charge) => {
         request.signal.removeEventListener('abort', onAbort);
-        resolve(this.begin(poolId, charge, request.priority));
+        resolve(this.begin(lineId, charge, request.priority));
       },
       refuse: (reason) => {
         request.signal.removeEventListener('abort', onAbort);
@@ -139,11 +145,11 @@
     });
     request.signal.addEventListener('abort', onAbort, { once: true });
     this.updateNeed(waiting.teamId);
-    this.pump(poolId);
+    this.pump(lineId);
     this.scheduleTick();
   }
 
-  private begin(poolId: string, charge: Charge, priority: string): Admission {
+  private begin(lineId: string, charge: Charge, priority: string): Admission {
     const { clock, keeper, counters } = this.options;
     const startedMs = clock.monotonicMs();
     let released = false;
@@ -153,7 +159,7 @@
       release: () => {
         if (released) return;
         released = true;
-        this.line(poolId).ended(charge, clock.monotonicMs() - startedMs);
+        this.line(lineId).ended(charge, clock.monotonicMs() - startedMs);
         if (charge.teamId !== NO_TEAM) keeper.ended(charge.teamId);
         this.updateNeed(charge.teamId);
         // A grant may have been freed for any pool.
@@ -162,8 +168,8 @@
     };
   }
 
-  private pump(poolId: string): void {
-    const line = this.line(poolId);
+  private pump(lineId: string): void {
+    const line = this.line(lineId);
     line.dropOverdue(this.options.clock.monotonicMs());
     if (line.queue.teams().length === 0) return;
     if (!this.options.isFresh()) {
@@ -171,7 +177,7 @@
       return;
     }
     this.refuseOutOfReach(line);
-    const around = this.surroundings(poolId);
+    const around = this.surroundings(lineId);
     while (line.startNext(around));
   }
 
@@ -190,17 +196,17 @@
     }
   }
 
-  private surroundings(poolId: string): LineSurroundings {
+  private surroundings(lineId: string): LineSurroundings {
     const { clock, keeper, memberId, peers, peerIds, published, fleet } = this.options;
     const { teams } = fleet();
     const reported = peers();
-    const inPool = (peerId: string): TeamCounts => reported.get(peerId)?.get(poolId) ?? new Map();
+    const inLine = (peerId: string): TeamCounts => reported.get(peerId)?.get(lineId) ?? new Map();
     return {
       nowMs: clock.monotonicMs(),
       selfId: memberId,
-      slots: this.slots(poolId),
-      peers: new Map(peerIds().map((peerId) => [peerId, inPool(peerId)])),
-      published: published().get(poolId) ?? new Map(),
+      slots: isTaskLine(lineId) ? UNBOUNDED_SLOTS : this.slots(lineId),
+      peers: new Map(peerIds().map((peerId) => [peerId, inLine(peerId)])),
+      published: published().get(lineId) ?? new Map(),
       weightOf: (teamId) => teams.get(teamId)?.shareWeight ?? NO_TEAM_WEIGHT,
       limitOf: (teamId) =>
         teamId === NO_TEAM ? Number.POSITIVE_INFINITY : (teams.get(teamId)?.upperLimit ?? 0),
@@ -214,11 +220,11 @@
     this.options.keeper.setNeed(teamId, need);
   }
 
-  private line(poolId: string): PoolLine {
-    const known = this.lines.get(poolId);
+  private line(lineId: string): PoolLine {
+    const known = this.lines.get(lineId);
     if (known) return known;
     const line = new PoolLine(this.options.newPolicy());
-    this.lines.set(poolId, line);
+    this.lines.set(lineId, line);
     return line;
   }
 
@@ -271,3 +277,13 @@
   }
   return slots;
 }
+
+/** Requests of a pool wait in one line; its tasks in another, where only the team limits count. */
+function lineOf(request: AdmissionRequest): string {
+  const { poolId } = request.queue;
+  return request.occupiesSlot === false ? `${TASK_LINE_PREFIX}${poolId}` : poolId;
+}
+
+function isTaskLine(lineId: string): boolean {
+  return lineId.startsWith(TASK_LINE_PREFIX);
+}
