Ignore a peer's greeting that arrives as its connection closes

Cause: a member that had registered again could stay "joining" for ever. Ruled out: two members dialling each other at once and closing each other's connection; keeping one of the two by id did not change the run.

Change: a closed connection no longer identifies its peer.

Conclusion: the fault was in the connection, not in the redialling.

--- a/peers/peer_link.ts
+++ b/peers/peer_link.ts
@@ -204,6 +204,8 @@
   }
 
   private identify(hello: Hello): void {
+    // An answer that was on its way when the connection closed must not bring it back into use.
+    if (this.closed) return;
     this.helloTimer?.cancel();
     this.identity = { memberId: hello.memberId, incarnation: hello.incarnation };
     this.options.onIdentified(this);
