Leave unchanged sections out of the exchange between entry instances

Cause: with 9 entry instances each one exchanged 6,378 B/s with its peers while idle, more than the 4 KB/s that control may cost; every message named unchanged demand and the maintenance revision, and each message scanned the states of all instances.

Change: demand without changes is sent once in 5 s, so that a missed message still shows; the maintenance section is left out while every instance serves; the instances that do not serve are listed once per configuration.

--- a/admission/admission_service.ts
+++ b/admission/admission_service.ts
@@ -44,6 +44,7 @@
   constructor(private readonly options: AdmissionServiceOptions) {
     this.keeper = this.newKeeper();
     this.demand = new DemandSection({
+      clock: options.clock,
       membership: options.membership,
       counters: options.counters,
       own: () => this.gate.counts(),
--- a/admission/demand_section.ts
+++ b/admission/demand_section.ts
@@ -4,6 +4,7 @@
  * missed a message asks for all counts.
  */
 import { z } from 'zod';
+import type { Clock } from '../kernel/clock';
 import type { Membership } from '../membership/membership';
 import { ExchangeSection, type PeerIdentity } from '../peers/exchange';
 import type { Counters } from '../telemetry/counters';
@@ -12,6 +13,9 @@
 /** Longest list in one message, so that a message stays well under the 64 KiB of a line. */
 const MOST_COUNTS_PER_MESSAGE = 500;
 
+/** A message without changes is left out, but for one in this time: its number shows the peer what it has missed. */
+const REPEAT_MS = 5_000;
+
 const payloadSchema = z.object({
   sequence: z.int().min(0),
   /** The counts replace all earlier ones. */
@@ -30,10 +34,12 @@
 
 interface Sent {
   readonly sequence: number;
+  /** Local monotonic time of the last message, in milliseconds. */
+  readonly atMs: number;
   readonly counts: CountsByName;
 }
 
-interface Received extends Sent {
+interface Received extends Omit<Sent, 'atMs'> {
   readonly memberId: string;
   readonly inSync: boolean;
   /** Kept in step with `counts`. */
@@ -41,6 +47,7 @@
 }
 
 export interface DemandSectionOptions {
+  readonly clock: Clock;
   readonly membership: Membership;
   readonly counters: Counters;
   /** The counts of this member now. */
@@ -64,13 +71,23 @@
     const own = flatten(this.lastOwn);
     const previous = this.sent.get(peer.incarnation);
     const changed = changedCounts(previous?.counts ?? new Map(), own).slice(0, MOST_COUNTS_PER_MESSAGE);
+    const resync = this.received.get(peer.incarnation)?.inSync === false;
+    if (previous !== undefined && changed.length === 0 && !resync && !this.isDue(previous)) return undefined;
     const sequence = (previous?.sequence ?? 0) + 1;
-    this.sent.set(peer.incarnation, { sequence, counts: patched(previous?.counts ?? new Map(), changed) });
+    const atMs = this.options.clock.monotonicMs();
+    this.sent.set(peer.incarnation, {
+      sequence,
+      atMs,
+      counts: patched(previous?.counts ?? new Map(), changed),
+    });
     const counts = changed.map(([name, count]) => [...splitName(name), count.running, count.waiting]);
-    const resync = this.received.get(peer.incarnation)?.inSync === false;
     return { sequence, full: previous === undefined, resync, counts };
   }
 
+  private isDue({ atMs }: Sent): boolean {
+    return this.options.clock.monotonicMs() - atMs >= REPEAT_MS;
+  }
+
   override incoming(peer: PeerIdentity, payload: unknown): void {
     const parsed = payloadSchema.safeParse(payload);
     if (!parsed.success) {
--- a/maintenance/in_flight_watch.ts
+++ b/maintenance/in_flight_watch.ts
@@ -33,18 +33,34 @@
   override readonly name = 'maintenance';
   private readonly reports = new Map<string, Report>();
   private readonly firstSeenMs = new Map<string, number>();
+  private leaving: {
+    readonly configuration: FleetConfiguration;
+    readonly instanceIds: readonly string[];
+  } | null = null;
 
   constructor(private readonly options: InFlightWatchOptions) {
     super();
   }
 
+  /** Left out while every instance serves: then nobody waits for a report. */
   override outgoing(): unknown {
     const { counts, fleet } = this.options;
-    const { revision, instanceStates } = fleet();
-    const busy = [...instanceStates.values()]
-      .filter(({ state, instanceId }) => state !== 'serving' && counts.inFlight(instanceId) > 0)
-      .map(({ instanceId }) => [instanceId, counts.inFlight(instanceId)] as const);
-    return { revision, inFlight: Object.fromEntries(busy) };
+    const configuration = fleet();
+    const leaving = this.notServing(configuration);
+    if (leaving.length === 0) return undefined;
+    const busy = leaving
+      .filter((instanceId) => counts.inFlight(instanceId) > 0)
+      .map((instanceId) => [instanceId, counts.inFlight(instanceId)] as const);
+    return { revision: configuration.revision, inFlight: Object.fromEntries(busy) };
+  }
+
+  /** Computed once per configuration: every exchange with every peer asks for it. */
+  private notServing(configuration: FleetConfiguration): readonly string[] {
+    if (this.leaving?.configuration !== configuration) {
+      const states = [...configuration.instanceStates.values()].filter(({ state }) => state !== 'serving');
+      this.leaving = { configuration, instanceIds: states.map(({ instanceId }) => instanceId) };
+    }
+    return this.leaving.instanceIds;
   }
 
   override incoming(peer: PeerIdentity, payload: unknown): void {
