Keep one paused process for all simulations

Cause: three simulations had a clock or process of their own that can be paused, with small differences.

Change: PausableProcess and PausableClock are in kernel/ beside the virtual clock; the copies are gone.

Conclusion: a pause means the same in every simulation.

--- a/bench/fake_member.ts
+++ b/bench/fake_member.ts
@@ -12,7 +12,7 @@
 import { MemoryCounters } from '../telemetry/counters';
 import { FakeExchange, EXCHANGE_INTERVAL_MS, type FakeNetwork } from './fake_network';
 import { FakeMembership, type FakeMemberList } from './fake_membership';
-import { PausableClock } from './pausable_clock';
+import { PausableClock } from '../kernel/pausable_clock';
 
 /** Interval at which a member reads the head, in milliseconds. */
 const POLL_MS = 400;
--- a/jobs/_placement_simulation.ts
+++ b/jobs/_placement_simulation.ts
@@ -1,6 +1,6 @@
 /** A simulated deployment for the proofs of placement: entry instances, workers, table and membership on one virtual clock. */
 import { FRESHNESS_MS } from '../config/freshness';
-import { Clock, type Timer } from '../kernel/clock';
+import { PausableClock } from '../kernel/pausable_clock';
 import { VirtualClock } from '../kernel/virtual_clock';
 import { Membership, type Member, type MemberStanding } from '../membership/membership';
 import type { FleetConfiguration } from '../model/fleet';
@@ -27,59 +27,6 @@
 const FENCE_AFTER_MS = 5_000;
 const STEP_MS = 50;
 
-/** The clock of a process that can be paused: its timers wait, time does not. */
-class PausableClock extends Clock {
-  private held: (() => void)[] | null = null;
-
-  constructor(private readonly base: VirtualClock) {
-    super();
-  }
-
-  override monotonicMs(): number {
-    return this.base.monotonicMs();
-  }
-
-  override wallMs(): number {
-    return this.base.wallMs();
-  }
-
-  override schedule(delayMs: number, task: () => void): Timer {
-    let cancelled = false;
-    const run = (): void => {
-      if (!cancelled) task();
-    };
-    const timer = this.base.schedule(delayMs, () => {
-      if (this.held) this.held.push(run);
-      else run();
-    });
-    return {
-      cancel: () => {
-        cancelled = true;
-        timer.cancel();
-      },
-    };
-  }
-
-  pause(): void {
-    this.held ??= [];
-  }
-
-  resume(): void {
-    const held = this.held ?? [];
-    this.held = null;
-    for (const run of held) run();
-  }
-
-  /** Resolves as soon as the process runs. */
-  whenRunning(): Promise<void> {
-    const { held } = this;
-    if (held === null) return Promise.resolve();
-    return new Promise((resolve) => {
-      held.push(resolve);
-    });
-  }
-}
-
 interface MemberRow {
   readonly member: Member;
   readonly heardMs: number;
--- a/bench/pausable_clock.ts
+++ b/kernel/pausable_clock.ts
@@ -1,10 +1,10 @@
 /** Clock of a process that can be stopped for a while, as by SIGSTOP. */
-import { Clock, type Timer } from '../kernel/clock';
+import { Clock, type Timer } from './clock';
+import { PausableProcess } from './pausable_process';
 
 /** Time goes on during a pause; timers that fall due run after it. */
 export class PausableClock extends Clock {
-  private paused = false;
-  private overdue: readonly (() => void)[] = [];
+  private readonly process = new PausableProcess();
 
   constructor(private readonly base: Clock) {
     super();
@@ -21,11 +21,11 @@
   override schedule(delayMs: number, task: () => void): Timer {
     let isCancelled = false;
     const run = (): void => {
-      if (isCancelled) return;
-      if (this.paused) this.overdue = [...this.overdue, run];
-      else task();
+      if (!isCancelled) task();
     };
-    const timer = this.base.schedule(delayMs, run);
+    const timer = this.base.schedule(delayMs, () => {
+      this.process.deliver(run);
+    });
     return {
       cancel: () => {
         isCancelled = true;
@@ -35,22 +35,19 @@
   }
 
   isPaused(): boolean {
-    return this.paused;
+    return this.process.isPaused();
   }
 
   pause(): void {
-    this.paused = true;
+    this.process.pause();
   }
 
   resume(): void {
-    this.paused = false;
-    const due = this.overdue;
-    this.overdue = [];
-    for (const run of due) run();
+    this.process.resume();
   }
 
   /** Resolves once the process runs. */
-  async whenRunning(): Promise<void> {
-    if (this.paused) await this.delay(0);
+  whenRunning(): Promise<void> {
+    return this.process.continued();
   }
 }
--- a/membership/simulated_deployment.ts
+++ b/membership/simulated_deployment.ts
@@ -5,6 +5,7 @@
 import { TicketService } from '../config/ticket_service';
 import { Clock, type Timer } from '../kernel/clock';
 import { Kernel } from '../kernel/kernel';
+import { PausableProcess } from '../kernel/pausable_process';
 import { Plugin } from '../kernel/plugin';
 import { pluginRegistry } from '../kernel/plugin_registry';
 import type { VirtualClock } from '../kernel/virtual_clock';
@@ -34,39 +35,6 @@
 import { Logger } from '../telemetry/logger';
 import { MEMBERSHIP, type Membership } from './membership';
 
-/** A process that can be stopped in the middle of anything and continued later. */
-class PausableProcess {
-  private paused = false;
-  private waiting: readonly (() => void)[] = [];
-
-  isPaused(): boolean {
-    return this.paused;
-  }
-
-  pause(): void {
-    this.paused = true;
-  }
-
-  resume(): void {
-    this.paused = false;
-    const tasks = this.waiting;
-    this.waiting = [];
-    for (const task of tasks) this.deliver(task);
-  }
-
-  /** Runs a task now, or when the process continues. */
-  deliver(task: () => void): void {
-    if (this.paused) this.waiting = [...this.waiting, task];
-    else task();
-  }
-
-  continued(): Promise<void> {
-    return new Promise((resolve) => {
-      this.deliver(resolve);
-    });
-  }
-}
-
 /** How a member's clock differs from the common one. */
 export interface ClockSkew {
   readonly rate: number;
