Bound the bodies of tickets

Cause: the operators API read a ticket of any size and waited for its end for ever.

Change: at most 16 MiB within 10 s, by the same reader as for callers.

Before: the reader had no tests and the operators API did not use it.

--- a/entry/operator_api.ts
+++ b/entry/operator_api.ts
@@ -12,6 +12,11 @@
 import type { Counters } from '../telemetry/counters';
 import { problemResponse, toRefusal } from './problem';
 import type { Readiness } from './readiness';
+import { readBody } from './request_body';
+
+/** A ticket that sets 21,000 instances has about 5 MB. */
+const MAX_TICKET_BYTES = 16 * 1024 * 1024;
+const BODY_TIMEOUT_MS = 10_000;
 
 export interface OperatorApiOptions {
   readonly tickets: TicketService;
@@ -41,7 +46,11 @@
     await next();
   });
   app.post('/v1/tickets', async (context) => {
-    const ticket = parseTicket(await context.req.text());
+    const body = await readBody(context.req.raw.body, {
+      maxBytes: MAX_TICKET_BYTES,
+      timeoutMs: BODY_TIMEOUT_MS,
+    });
+    const ticket = parseTicket(body.toString('utf8'));
     const dryRun = context.req.query('dryRun') === 'true';
     return context.json(dryRun ? tickets.dryRun(ticket) : await tickets.apply(ticket));
   });
