--- a/demo/demo_main.ts
+++ b/demo/demo_main.ts
@@ -1,4 +1,5 @@
-/** Demonstration: a whole deployment serves requests and applies a ticket, then stops gracefully. */
+/** Demonstration: a whole deployment serves requests and jobs, reboots one instance by a wave, then stops gracefully. */
+import { runJobDemo } from './demo_job';
 import { DEMO_KEY, demoTicket } from './demo_ticket';
 import { runWaveDemo } from './demo_wave';
 import { Deployment, sendJson } from './deployment';
@@ -15,9 +16,11 @@
     const { status } = await sendJson(url, 'GET', DEMO_KEY);
     statuses.set(status, (statuses.get(status) ?? 0) + 1);
   }
+  const jobs = await runJobDemo(deployment);
   const wave = await runWaveDemo(deployment, 2);
   const codes = await deployment.stop();
   process.stdout.write(`requests by status: ${JSON.stringify(Object.fromEntries(statuses))}\n`);
+  process.stdout.write(`jobs by final state: ${JSON.stringify(Object.fromEntries(jobs))}\n`);
   process.stdout.write(`exit codes of the entry instances: ${codes.join(', ')}\n`);
   process.stdout.write(
     `wave of one instance: ${wave.finished ? 'finished' : 'not finished'} after ${Math.round(wave.durationMs)} ms, ` +
@@ -26,7 +29,8 @@
   );
   const isWaveGood = wave.finished && [...wave.answers.keys()].every((answer) => answer === '200');
   const isServed = statuses.get(200) === REQUESTS && codes.every((code) => code === 0);
-  process.exitCode = isServed && isWaveGood ? 0 : 1;
+  const areJobsDone = [...jobs.keys()].every((state) => state === 'done');
+  process.exitCode = isServed && isWaveGood && areJobsDone ? 0 : 1;
 }
 
 void main();
