--- a/jobs/_test_fleet.ts
+++ b/jobs/_test_fleet.ts
@@ -7,7 +7,7 @@
   type FleetConfiguration,
   type Instance,
 } from '../model/fleet';
-import { jobSchema, type Job } from './job';
+import { jobSchema, type Job, NO_PROGRESS } from './job';
 
 export const GIB = 2 ** 30;
 
@@ -70,16 +70,7 @@
     payload: '',
     fingerprint: '',
     submittedAtMs: 0,
-    state: 'waiting',
-    attempt: 0,
-    epoch: 0,
-    instanceId: null,
-    checkpoint: null,
-    cancelRequested: false,
-    failures: 0,
-    failedOn: [],
-    losses: 0,
-    reason: null,
+    ...NO_PROGRESS,
     ...changes,
   });
 }
--- a/jobs/job.ts
+++ b/jobs/job.ts
@@ -89,3 +89,17 @@
 export function taskIdOf(job: Job): string {
   return `${job.jobId}/${job.attempt}`;
 }
+
+/** Progress of a job that has just been accepted. */
+export const NO_PROGRESS = {
+  state: 'waiting',
+  attempt: 0,
+  epoch: 0,
+  instanceId: null,
+  checkpoint: null,
+  cancelRequested: false,
+  failures: 0,
+  failedOn: [],
+  losses: 0,
+  reason: null,
+} as const satisfies Partial<Job>;
--- a/jobs/job_service.ts
+++ b/jobs/job_service.ts
@@ -11,7 +11,7 @@
 import { TableOutcomeUnknownError, TableUnavailableError } from '../platform/table_service';
 import type { Counters } from '../telemetry/counters';
 import { cannotRunReason } from './fleet_fit';
-import { isOnWorker, isTerminal, type Job, type JobRequest } from './job';
+import { isOnWorker, isTerminal, type Job, type JobRequest, NO_PROGRESS } from './job';
 import type { JobStore, StoredJob } from './job_store';
 
 /** Attempts against the placement holder, which writes the same rows. */
@@ -131,16 +131,7 @@
       payload: request.payload,
       fingerprint: fingerprintOf(request),
       submittedAtMs: this.options.clock.wallMs(),
-      state: 'waiting',
-      attempt: 0,
-      epoch: 0,
-      instanceId: null,
-      checkpoint: null,
-      cancelRequested: false,
-      failures: 0,
-      failedOn: [],
-      losses: 0,
-      reason: null,
+      ...NO_PROGRESS,
     };
   }
 
