--- /dev/null
+++ b/callers/job_intake.ts
@@ -0,0 +1,93 @@
+/** Takes jobs from callers into the store and answers about them. */
+import type { Clock } from '../kernel/clock';
+import { decodeQueueStatus, queueStatusAddress } from '../placement/queue_status';
+import type { AcceptedJob, JobDefinition } from '../scheduling/job_definition';
+import { isEnded, type JobState } from '../scheduling/job_progress';
+import {
+  cancelAddress,
+  decodeProgress,
+  encodeJob,
+  JOB_PARTITIONS,
+  jobAddress,
+  progressAddress,
+} from '../scheduling/job_rows';
+import { GroupWriter } from '../store/group_writer';
+import type { RowStore } from '../store/row_store';
+
+/** Ended jobs whose state is kept in memory, so that repeated questions cost no call to the store. */
+const MAX_REMEMBERED = 2_000;
+
+export interface JobIntakeOptions {
+  readonly store: RowStore;
+  readonly clock: Clock;
+}
+
+export interface Submission {
+  readonly jobId: string;
+  readonly queueId: string;
+  readonly teamId: string | null;
+  readonly definition: JobDefinition;
+  /** Until when the caller waits, on the steady clock. */
+  readonly untilMs: number;
+}
+
+/**
+ * Accepts, cancels and reports jobs. Every method throws
+ * `StoreUnavailableError` if nothing was done and `StoreOutcomeUnknownError`
+ * if that is not known.
+ *
+ * @example
+ * ```ts
+ * const intake = new JobIntake({ store, clock });
+ * await intake.submit({ jobId, queueId, teamId, definition, untilMs });
+ * ```
+ */
+export class JobIntake {
+  private readonly writers: ReadonlyMap<string, GroupWriter>;
+  private readonly ended = new Map<string, JobState>();
+
+  constructor(private readonly options: JobIntakeOptions) {
+    this.writers = new Map(JOB_PARTITIONS.map((partition) => [partition, new GroupWriter(options)]));
+  }
+
+  /** Resolves once the job is stored; `false` if it was already. */
+  async submit({ untilMs, ...submission }: Submission): Promise<boolean> {
+    const job: AcceptedJob = { ...submission, acceptedAtMs: this.options.clock.wallMs() };
+    const address = jobAddress(job.jobId);
+    const writer = this.writers.get(address.partition);
+    if (writer === undefined) throw new Error(`No writer serves the partition "${address.partition}".`);
+    return writer.create({ ...address, value: encodeJob(job) }, untilMs);
+  }
+
+  /** The state of a job; `null` if there is no such job. */
+  async state(jobId: string): Promise<JobState | null> {
+    const remembered = this.ended.get(jobId);
+    if (remembered !== undefined) return remembered;
+    const { store } = this.options;
+    const progress = await store.readOne(progressAddress(jobId));
+    if (progress === null) return (await store.readOne(jobAddress(jobId))) === null ? null : 'queued';
+    const { state } = decodeProgress(progress.value);
+    if (isEnded(state)) this.remember(jobId, state);
+    return state;
+  }
+
+  /** Asks the holder of the placement role to cancel a job. Returns `false` if there is no such job. */
+  async cancel(jobId: string): Promise<boolean> {
+    const { store } = this.options;
+    if ((await store.readOne(jobAddress(jobId))) === null) return false;
+    await store.transact({ conditions: [], writes: [{ ...cancelAddress(jobId), value: '{}' }] });
+    return true;
+  }
+
+  /** Accepted jobs of a queue of which no task has started; may be a second old. */
+  async pending(queueId: string): Promise<number> {
+    const row = await this.options.store.readOne(queueStatusAddress(queueId));
+    return row === null ? 0 : decodeQueueStatus(row.value).pending;
+  }
+
+  private remember(jobId: string, state: JobState): void {
+    const [oldest] = this.ended.keys();
+    if (this.ended.size >= MAX_REMEMBERED && oldest !== undefined) this.ended.delete(oldest);
+    this.ended.set(jobId, state);
+  }
+}
--- /dev/null
+++ b/daemon/capabilities.ts
@@ -0,0 +1,30 @@
+/** What the plug-ins of the scheduler process offer each other. */
+import type { CallerCodec } from '../callers/caller_codec';
+import { capability } from '../kernel/capability';
+import type { FleetRules } from '../scheduling/fleet_rules';
+import type { InstanceOperations } from '../scheduling/instance_operations';
+import type { PlacementAdvice } from '../scheduling/placement_advice';
+import type { PlatformRows } from '../scheduling/platform_rows';
+import type { RulesBook } from '../scheduling/rules_book';
+import type { WaveOrder } from '../scheduling/wave_order';
+import type { WorkerGateway } from '../scheduling/worker_gateway';
+import type { RowStore } from '../store/row_store';
+import type { NodeSettings } from './node_settings';
+
+/** Maintenance waves that the operator has ordered, by number. */
+export interface OperatorOrders {
+  readonly rules: () => FleetRules | null;
+  readonly waves: () => ReadonlyMap<number, WaveOrder>;
+  /** Whether the store answered the latest call. */
+  readonly isStoreReachable: () => boolean;
+}
+
+export const NODE_SETTINGS = capability<NodeSettings>('daemon.node_settings');
+export const ROW_STORE = capability<RowStore>('platform.row_store');
+export const PLATFORM_ROWS = capability<PlatformRows>('platform.rows');
+export const WORKER_GATEWAY = capability<WorkerGateway>('platform.worker_gateway');
+export const INSTANCE_OPERATIONS = capability<InstanceOperations>('platform.instance_operations');
+export const PLACEMENT_ADVICE = capability<PlacementAdvice | null>('platform.placement_advice');
+export const CALLER_CODEC = capability<CallerCodec>('platform.caller_codec');
+export const RULES_BOOK = capability<RulesBook>('daemon.rules_book');
+export const OPERATOR_ORDERS = capability<OperatorOrders>('daemon.operator_orders');
--- /dev/null
+++ b/daemon/node_settings.ts
@@ -0,0 +1,36 @@
+/** What a process of the system is told about itself and its surroundings. */
+
+export interface NodeSettings {
+  /** Name of the machine; it stays the same when the process starts again. */
+  readonly nodeName: string;
+  readonly availabilityZone: string;
+  /** Where callers are served; `null` if this process serves none. */
+  readonly callerAddress: SocketAddress | null;
+  /** Where the balancer asks whether this process takes callers. */
+  readonly readinessAddress: SocketAddress | null;
+  readonly storeAddress: string;
+  readonly instancesAddress: string;
+  /** Empty if no queue asks for advice. */
+  readonly adviceAddress: string;
+  /** How often workers write their entry, in milliseconds. */
+  readonly workerHeartbeatMs: number;
+  /** Time between the signal to stop and the end by force, in milliseconds. */
+  readonly stopGraceMs: number;
+  /** Longest lease that a worker grants, in milliseconds. */
+  readonly maxWorkerLeaseMs: number;
+  /** Time after which another process may take over a role, in milliseconds. */
+  readonly roleLeaseMs: number;
+  /** Most calls a second for moves and maintenance, of all processes together. */
+  readonly instanceOrdersPerSecond: number;
+  /** Least time that a state of an ended job can be read, in milliseconds. */
+  readonly endedJobRetentionMs: number;
+  /** How many times as long work takes far from its data or spread over racks. */
+  readonly remoteFactor: number;
+  /** Time a move of an instance takes, in milliseconds. */
+  readonly moveMs: number;
+}
+
+export interface SocketAddress {
+  readonly host: string;
+  readonly port: number;
+}
--- /dev/null
+++ b/daemon/operator_plugin.ts
@@ -0,0 +1,91 @@
+/** Follows the operator's rows: the fleet rules and the maintenance waves. */
+import type { Kernel } from '../kernel/kernel';
+import { Plugin } from '../kernel/plugin';
+import { pluginRegistry } from '../kernel/plugin_registry';
+import { UnusableRowError } from '../scheduling/platform_rows';
+import { RulesBook } from '../scheduling/rules_book';
+import type { WaveOrder } from '../scheduling/wave_order';
+import { LOGGER } from '../settings/base_capabilities';
+import type { RowChange } from '../store/row_store';
+import { TableFollower } from '../store/table_follower';
+import { LOG_EVENTS } from '../telemetry/events_catalogue';
+import { OPERATOR_ORDERS, PLATFORM_ROWS, ROW_STORE, RULES_BOOK } from './capabilities';
+
+/**
+ * How long one call for changes waits, in milliseconds. Rules have to be in
+ * force 2 s after they are acknowledged, also after a connection has gone
+ * silent.
+ */
+const FEED_WAIT_MS = 1_000;
+
+class OperatorPlugin extends Plugin {
+  override readonly name = 'operator';
+  override readonly requires = ['wire'];
+  private readonly rules = new RulesBook();
+  private readonly waves = new Map<number, WaveOrder>();
+  private isReachable = false;
+  private kernel: Kernel | null = null;
+  private follower: TableFollower | null = null;
+
+  override setUp(kernel: Kernel): void {
+    this.kernel = kernel;
+    kernel.provide(RULES_BOOK, this.rules);
+    kernel.provide(OPERATOR_ORDERS, {
+      rules: () => this.rules.current(),
+      waves: () => this.waves,
+      isStoreReachable: () => this.isReachable,
+    });
+  }
+
+  override start(): Promise<void> {
+    const kernel = this.required();
+    const { operatorTable, partition } = kernel.use(PLATFORM_ROWS);
+    this.follower = new TableFollower({
+      store: kernel.use(ROW_STORE),
+      clock: kernel.clock,
+      table: operatorTable,
+      partitions: [partition],
+      waitMs: FEED_WAIT_MS,
+      onChanges: (changes) => {
+        for (const change of changes) this.take(kernel, change);
+      },
+      onContact: (reached) => {
+        this.noteContact(kernel, reached);
+      },
+    });
+    void this.follower.run();
+    return Promise.resolve();
+  }
+
+  override stop(): Promise<void> {
+    this.follower?.stop();
+    return Promise.resolve();
+  }
+
+  private required(): Kernel {
+    if (this.kernel === null) throw new Error('The plug-in is not set up.');
+    return this.kernel;
+  }
+
+  private take(kernel: Kernel, { key, value, version }: RowChange): void {
+    if (value === null) return;
+    const logger = kernel.use(LOGGER);
+    try {
+      const row = kernel.use(PLATFORM_ROWS).decodeOperatorRow(key, value);
+      if (row.kind === 'wave') this.waves.set(row.wave.waveNumber, row.wave);
+      if (row.kind !== 'rules' || !this.rules.apply(row.rules)) return;
+      logger.info(LOG_EVENTS.rulesApplied, { rulesVersion: row.rules.version, rowVersion: version });
+    } catch (error) {
+      if (!(error instanceof UnusableRowError)) throw error;
+      logger.warn(LOG_EVENTS.operatorRowUnusable, { key, reason: error.message });
+    }
+  }
+
+  private noteContact(kernel: Kernel, reached: boolean): void {
+    if (reached === this.isReachable) return;
+    this.isReachable = reached;
+    kernel.use(LOGGER).info(reached ? LOG_EVENTS.storeReached : LOG_EVENTS.storeLost);
+  }
+}
+
+pluginRegistry.add({ name: 'operator', create: () => new OperatorPlugin() });
--- /dev/null
+++ b/daemon/scheduler_main.ts
@@ -0,0 +1,47 @@
+#!/usr/bin/env node
+/** Daemon of a scheduler process on the users' platform. */
+import { readFileSync } from 'node:fs';
+import { SystemClock } from '../kernel/system_clock';
+import { decodeNodeFile, NODE_FILE_VARIABLE, NodeFileError } from '../platform/node_file';
+import { LOG_EVENTS } from '../telemetry/events_catalogue';
+import { Logger } from '../telemetry/logger';
+import { createScheduler } from './wiring';
+
+const EXIT_FAILURE = 1;
+const EXIT_BAD_SETTINGS = 2;
+
+async function main(): Promise<void> {
+  const logger = Logger.create({ level: process.env.ENDIVESTAND_LOG_LEVEL ?? 'info' });
+  const path = process.env[NODE_FILE_VARIABLE];
+  if (path === undefined) throw new NodeFileError([`${NODE_FILE_VARIABLE} is not set.`]);
+  const settings = decodeNodeFile(readFileSync(path, 'utf8'));
+  const kernel = createScheduler({ settings, clock: new SystemClock(), logger });
+  const stopRequested = new Promise<void>((resolve) => {
+    process.once('SIGTERM', resolve);
+    process.once('SIGINT', resolve);
+  });
+  process.on('SIGHUP', () => {
+    logger.info(LOG_EVENTS.settingsReloaded);
+  });
+  process.on('unhandledRejection', (error) => {
+    const reason = error instanceof Error ? error.stack : String(error);
+    logger.error(LOG_EVENTS.turnFailed, { reason });
+    process.exit(EXIT_FAILURE);
+  });
+  await kernel.start();
+  logger.info(LOG_EVENTS.started, { nodeName: settings.nodeName });
+  await stopRequested;
+  logger.info(LOG_EVENTS.stopping);
+  await kernel.stop();
+  logger.info(LOG_EVENTS.stopped);
+}
+
+main().then(
+  () => {
+    process.exit(0);
+  },
+  (error: unknown) => {
+    process.stderr.write(`${error instanceof Error ? error.message : String(error)}\n`);
+    process.exit(error instanceof NodeFileError ? EXIT_BAD_SETTINGS : EXIT_FAILURE);
+  },
+);
--- /dev/null
+++ b/daemon/wiring.ts
@@ -0,0 +1,45 @@
+/** Wires the parts of a scheduler process. Plug-ins register themselves when they are imported here. */
+import '../platform/wire_plugin';
+import './operator_plugin';
+import '../callers/callers_plugin';
+import '../placement/placement_plugin';
+import type { Clock } from '../kernel/clock';
+import { Kernel } from '../kernel/kernel';
+import { pluginRegistry } from '../kernel/plugin_registry';
+import { COUNTERS, LOGGER } from '../settings/base_capabilities';
+import { MemoryCounters } from '../telemetry/counters';
+import { LOG_EVENTS } from '../telemetry/events_catalogue';
+import type { Logger } from '../telemetry/logger';
+import { NODE_SETTINGS } from './capabilities';
+import type { NodeSettings } from './node_settings';
+
+export interface SchedulerOptions {
+  readonly settings: NodeSettings;
+  readonly clock: Clock;
+  readonly logger: Logger;
+}
+
+/**
+ * Builds a scheduler process with all plug-ins set up and none started.
+ *
+ * @example
+ * ```ts
+ * const kernel = createScheduler({ settings, clock: new SystemClock(), logger });
+ * await kernel.start();
+ * ```
+ */
+export function createScheduler({ settings, clock, logger }: SchedulerOptions): Kernel {
+  const counters = new MemoryCounters();
+  const kernel = new Kernel({
+    clock,
+    onTurnError: (error) => {
+      counters.increment('turns.failed');
+      logger.error(LOG_EVENTS.turnFailed, { reason: error instanceof Error ? error.stack : String(error) });
+    },
+  });
+  kernel.provide(NODE_SETTINGS, settings);
+  kernel.provide(LOGGER, logger);
+  kernel.provide(COUNTERS, counters);
+  kernel.load(pluginRegistry.all());
+  return kernel;
+}
--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -2,7 +2,7 @@
 import tseslint from 'typescript-eslint';
 
 export default tseslint.config(
-  { ignores: ['soak/_fast_check.js', 'dist/', 'node_modules/', 'coverage/'] },
+  { ignores: ['soak/_fast_check.js', 'dist/', 'target/', 'journal/', 'node_modules/', 'coverage/'] },
   eslint.configs.recommended,
   ...tseslint.configs.strictTypeChecked,
   ...tseslint.configs.stylisticTypeChecked,
--- a/model/resources.ts
+++ b/model/resources.ts
@@ -30,10 +30,13 @@
   return combineResources(a, b, (x, y) => x - y);
 }
 
+/** Sums of processors that are fractions differ from the exact value by far less than this. */
+const ROUNDING = 1e-6;
+
 /** Whether `demand` fits into `free` in every resource. */
 export function fitsInto(demand: Resources, free: Resources): boolean {
   return (
-    demand.processors <= free.processors &&
+    demand.processors <= free.processors + ROUNDING &&
     demand.memoryBytes <= free.memoryBytes &&
     demand.accelerators <= free.accelerators
   );
--- /dev/null
+++ b/placement/lease_watch.ts
@@ -0,0 +1,106 @@
+/** Watches the lease of the placement role and takes it over when its holder is gone. */
+import type { Clock } from '../kernel/clock';
+import { isStoreFailure, type RowStore, type StoredRow } from '../store/row_store';
+import { decodeLease, encodeLease, LEASE_ADDRESS, NO_LEASE, type LeaseRow } from './lease_row';
+
+/** How often the lease is read while another process holds it, in milliseconds. */
+const WATCH_INTERVAL_MS = 700;
+
+/** Added to the lease before it is taken over, in milliseconds, for the drift of two steady clocks. */
+const TAKEOVER_MARGIN_MS = 150;
+
+export interface LeaseIdentity {
+  readonly nodeName: string;
+  readonly processId: string;
+}
+
+/** The lease at the moment it was acquired. */
+export interface AcquiredLease {
+  readonly row: LeaseRow;
+  readonly version: number;
+  /** When the acquiring transaction was sent, on the process's steady clock. */
+  readonly sentAtMs: number;
+}
+
+export interface LeaseWatchOptions {
+  readonly store: RowStore;
+  readonly clock: Clock;
+  readonly identity: LeaseIdentity;
+  /** Time for which a holder may act after a renewal, in milliseconds. */
+  readonly leaseMs: number;
+}
+
+/**
+ * Acquires the lease once its row has not changed for the length of the lease,
+ * or at once if it was given back or its holder was an earlier process on the
+ * same machine.
+ *
+ * @example
+ * ```ts
+ * const lease = await watch.acquire(); // resolves once this process holds the role
+ * ```
+ */
+export class LeaseWatch {
+  private stopped = false;
+  private seenVersion = -1;
+  private unchangedSinceMs = 0;
+
+  constructor(private readonly options: LeaseWatchOptions) {}
+
+  stop(): void {
+    this.stopped = true;
+  }
+
+  /** Resolves with the lease, or with `null` after {@link stop}. */
+  async acquire(): Promise<AcquiredLease | null> {
+    while (!this.isStopped()) {
+      const acquired = await this.attempt();
+      if (acquired !== null) return acquired;
+      await this.options.clock.delay(WATCH_INTERVAL_MS);
+    }
+    return null;
+  }
+
+  private isStopped(): boolean {
+    return this.stopped;
+  }
+
+  private async attempt(): Promise<AcquiredLease | null> {
+    try {
+      const row = await this.options.store.readOne(LEASE_ADDRESS);
+      if (!this.isVacant(row) || this.stopped) return null;
+      return await this.take(row);
+    } catch (error) {
+      if (!isStoreFailure(error)) throw error;
+      // A holder cannot renew while the store is away: its time counts anew.
+      this.seenVersion = -1;
+      return null;
+    }
+  }
+
+  private isVacant(row: StoredRow | null): boolean {
+    if (row === null) return true;
+    const lease = decodeLease(row.value);
+    const { nodeName, processId } = this.options.identity;
+    if (lease.processId === '' || lease.processId === processId) return true;
+    if (lease.nodeName === nodeName) return true;
+    const nowMs = this.options.clock.monotonicMs();
+    if (row.version !== this.seenVersion) {
+      this.seenVersion = row.version;
+      this.unchangedSinceMs = nowMs;
+    }
+    return nowMs - this.unchangedSinceMs >= this.options.leaseMs + TAKEOVER_MARGIN_MS;
+  }
+
+  private async take(row: StoredRow | null): Promise<AcquiredLease | null> {
+    const before = row === null ? NO_LEASE : decodeLease(row.value);
+    const next = { ...this.options.identity, epoch: before.epoch + 1, sequence: 0 };
+    const sentAtMs = this.options.clock.monotonicMs();
+    const result = await this.options.store.transact({
+      conditions: [{ ...LEASE_ADDRESS, version: row?.version ?? 0 }],
+      writes: [{ ...LEASE_ADDRESS, value: encodeLease(next) }],
+    });
+    if (result.kind === 'conflict') return null;
+    return { row: next, version: result.version, sentAtMs };
+  }
+}
--- /dev/null
+++ b/placement/occupancy.ts
@@ -0,0 +1,42 @@
+/** What the recorded runs occupy, by worker and by team. */
+import { addResources, NO_RESOURCES, subtractResources, type Resources } from '../model/resources';
+import { occupiedBy, type StepDefinition } from '../scheduling/job_definition';
+
+export interface OccupyingRun {
+  readonly workerId: string;
+  readonly teamId: string | null;
+  readonly step: StepDefinition;
+}
+
+/**
+ * Adds runs up from their record until their end is known, so that orders
+ * without an answer count too.
+ *
+ * @example
+ * ```ts
+ * occupancy.add({ workerId: 'w1', teamId: 'desk', step });
+ * occupancy.onWorker('w1').processors;
+ * ```
+ */
+export class Occupancy {
+  private readonly workers = new Map<string, Resources>();
+  private readonly teams = new Map<string, Resources>();
+
+  add({ workerId, teamId, step }: OccupyingRun): void {
+    this.workers.set(workerId, addResources(this.onWorker(workerId), occupiedBy(step)));
+    if (teamId !== null) this.teams.set(teamId, addResources(this.ofTeam(teamId), step.demand));
+  }
+
+  remove({ workerId, teamId, step }: OccupyingRun): void {
+    this.workers.set(workerId, subtractResources(this.onWorker(workerId), occupiedBy(step)));
+    if (teamId !== null) this.teams.set(teamId, subtractResources(this.ofTeam(teamId), step.demand));
+  }
+
+  onWorker(workerId: string): Resources {
+    return this.workers.get(workerId) ?? NO_RESOURCES;
+  }
+
+  ofTeam(teamId: string): Resources {
+    return this.teams.get(teamId) ?? NO_RESOURCES;
+  }
+}
--- /dev/null
+++ b/placement/placement_holder.ts
@@ -0,0 +1,476 @@
+/** Acts as the holder of the placement role: from its acquisition until it is lost or given back. */
+import type { Clock, Timer } from '../kernel/clock';
+import { subtractResources } from '../model/resources';
+import type { FleetRules } from '../scheduling/fleet_rules';
+import type { InstanceOperations } from '../scheduling/instance_operations';
+import { isLongRunning } from '../scheduling/job_definition';
+import { isEnded, type JobProgress } from '../scheduling/job_progress';
+import type { RunEnd, TaskRun } from '../scheduling/job_record';
+import {
+  cancelledJobOf,
+  decodeJob,
+  decodeProgress,
+  JOB_PARTITIONS,
+  JOB_TABLE,
+  PLACEMENT_PARTITION,
+  PROGRESS_TABLE,
+} from '../scheduling/job_rows';
+import { UnusableRowError, type PlatformRows } from '../scheduling/platform_rows';
+import type { PlacementAdvice } from '../scheduling/placement_advice';
+import { planPool, type Assignment, type PlanWorker } from '../scheduling/placement_planner';
+import { SlackOrder } from '../scheduling/queue_order';
+import type { WorkerEntry } from '../scheduling/worker_entry';
+import type { Rejection, RunningTask, WorkerGateway } from '../scheduling/worker_gateway';
+import type { RowChange, RowStore } from '../store/row_store';
+import { TableFollower } from '../store/table_follower';
+import type { Counters } from '../telemetry/counters';
+import { LOG_EVENTS } from '../telemetry/events_catalogue';
+import type { Logger } from '../telemetry/logger';
+import type { OpenJob } from './job_book';
+import type { AcquiredLease, LeaseIdentity } from './lease_watch';
+import { PlacementJournal } from './placement_journal';
+import { PlacementState } from './placement_state';
+import { buildPlanRequest, collectCandidates, type Candidate } from './plan_request';
+import { queueStatusAddress, encodeQueueStatus } from './queue_status';
+import { WorkerFleet } from './worker_fleet';
+import { SessionListener, type HeardEnd, type SessionRun, type WorkerSession } from './worker_session';
+
+/** How long one call for changed jobs waits, in milliseconds; a silent connection is noticed after it. */
+const JOB_FEED_WAIT_MS = 2_000;
+
+/** Pause between two calls for changed workers, in milliseconds: each worker writes every 1.5 s, and calls are priced. */
+const WORKER_FEED_PAUSE_MS = 400;
+const WORKER_FEED_WAIT_MS = 1_000;
+
+/** Events of this time are planned for together, in milliseconds. */
+const PLAN_DELAY_MS = 3;
+
+/** How often work that depends on time alone is looked at, in milliseconds. */
+const TICK_MS = 250;
+
+/** How often the counts of pending jobs are written, in milliseconds; they may be 2 s old. */
+const QUEUE_STATUS_INTERVAL_MS = 750;
+
+export interface PlacementHolderOptions {
+  readonly store: RowStore;
+  readonly clock: Clock;
+  readonly rows: PlatformRows;
+  readonly gateway: WorkerGateway;
+  readonly instances: InstanceOperations;
+  readonly advice: PlacementAdvice | null;
+  readonly rules: () => FleetRules | null;
+  readonly lease: AcquiredLease;
+  readonly identity: LeaseIdentity;
+  readonly leaseMs: number;
+  readonly maxWorkerLeaseMs: number;
+  readonly counters: Counters;
+  readonly logger: Logger;
+  /** Called once when the role is lost. */
+  readonly onLost: () => void;
+}
+
+/**
+ * Reads the jobs, fences all workers, and then places tasks until
+ * {@link PlacementHolder.release} or the loss of the role.
+ */
+export class PlacementHolder extends SessionListener {
+  private readonly journal: PlacementJournal;
+  private readonly state: PlacementState;
+  private readonly fleet: WorkerFleet;
+  private readonly order = new SlackOrder();
+  private readonly jobFollower: TableFollower;
+  private readonly workerFollower: TableFollower;
+  /** Progress as read at the start, until the job's own row is read. */
+  private readonly inheritedProgress = new Map<string, JobProgress>();
+  private readonly writtenPending = new Map<string, number>();
+  private queueStatusAtMs = 0;
+  private planTimer: Timer | null = null;
+  private tickTimer: Timer | null = null;
+  private isStopped = false;
+  private isLoaded = false;
+
+  constructor(private readonly options: PlacementHolderOptions) {
+    super();
+    const { store, clock, lease, leaseMs, gateway, counters, maxWorkerLeaseMs, rules } = options;
+    this.journal = new PlacementJournal({
+      store,
+      clock,
+      lease,
+      leaseMs,
+      onLost: () => {
+        this.lose('lease taken over');
+      },
+    });
+    this.state = new PlacementState({ clock, journal: this.journal, counters, rules });
+    this.fleet = new WorkerFleet({
+      clock,
+      gateway,
+      listener: this,
+      fencingToken: lease.row.epoch,
+      maxLeaseMs: maxWorkerLeaseMs,
+      mayAct: () => this.journal.isValid(),
+      recordedRuns: (workerId) => this.state.runsOn(workerId),
+      onGone: (end) => {
+        this.onGone(end);
+      },
+    });
+    this.jobFollower = new TableFollower({
+      store,
+      clock,
+      table: JOB_TABLE,
+      partitions: JOB_PARTITIONS,
+      waitMs: JOB_FEED_WAIT_MS,
+      onChanges: (changes) => {
+        this.takeJobs(changes);
+      },
+    });
+    this.workerFollower = new TableFollower({
+      store,
+      clock,
+      table: options.rows.workerTable,
+      partitions: [options.rows.partition],
+      waitMs: WORKER_FEED_WAIT_MS,
+      pauseMs: WORKER_FEED_PAUSE_MS,
+      onChanges: (changes, complete) => {
+        this.takeWorkers(changes, complete);
+      },
+    });
+  }
+
+  /** Reads what earlier holders have recorded and begins to place. Throws as {@link RowStore.read}. */
+  async start(): Promise<void> {
+    const { store, clock } = this.options;
+    const progress = await store.read({ table: PROGRESS_TABLE, partition: PLACEMENT_PARTITION });
+    for (const { key, value } of progress.rows) this.inheritedProgress.set(key, decodeProgress(value));
+    await this.jobFollower.load();
+    await this.workerFollower.load();
+    if (this.isOver()) return;
+    this.isLoaded = true;
+    this.inheritedProgress.clear();
+    this.fleet.expireOrphans([...this.state.book.jobs()].flatMap(({ record }) => record.runs()));
+    for (const job of this.state.book.jobs()) if (isEnded(job.record.state)) this.stopRuns(job);
+    void this.jobFollower.run();
+    void this.workerFollower.run();
+    this.tickTimer = clock.schedule(TICK_MS, () => {
+      this.tick();
+    });
+    this.schedulePlan();
+  }
+
+  /** Gives the role back. */
+  async release(): Promise<void> {
+    this.stop();
+    await this.journal.release();
+  }
+
+  /** Stops at once; others take the role over when the lease has run out. */
+  stop(): void {
+    if (this.isStopped) return;
+    this.isStopped = true;
+    this.planTimer?.cancel();
+    this.tickTimer?.cancel();
+    this.jobFollower.stop();
+    this.workerFollower.stop();
+    this.fleet.close();
+  }
+
+  /** Looks at the jobs again after a change of the rules. */
+  onRulesChanged(): void {
+    this.schedulePlan();
+  }
+
+  override onFenced(): void {
+    this.lose('fenced by a later holder');
+  }
+
+  override onReady(): void {
+    this.schedulePlan();
+  }
+
+  override onEnds(session: WorkerSession, ends: readonly HeardEnd[]): void {
+    if (this.isStopped) return;
+    const { workerId } = session.worker;
+    for (const end of ends) this.takeEnd({ ...end, workerId }, end.startedAtMs);
+    const last = ends.at(-1)?.number ?? 0;
+    this.journal.afterCommit(() => {
+      session.markRecorded(last);
+    });
+    this.schedulePlan();
+  }
+
+  override onRejected(session: WorkerSession, run: SessionRun, reason: Rejection | 'not_reached'): void {
+    this.options.counters.increment('placement.start_rejected', reason);
+    this.options.logger.warn(LOG_EVENTS.startRejected, {
+      jobId: run.task.jobId,
+      task: run.task,
+      run: run.run,
+      workerId: session.worker.workerId,
+      reason,
+    });
+    this.onLost(session, run);
+  }
+
+  override onLost(session: WorkerSession, { task, run }: SessionRun): void {
+    this.onGone({ task, run, workerId: session.worker.workerId, kind: 'lost', checkpoint: '' });
+  }
+
+  override onProgress(_session: WorkerSession, running: readonly RunningTask[]): void {
+    for (const { task, run, checkpoint } of running) {
+      const record = this.state.book.get(task.jobId)?.record;
+      if (record === undefined || checkpoint === '') continue;
+      const isRecorded = record.task(task).runs.some(({ run: number }) => number === run);
+      if (isRecorded) record.keepCheckpoint(task, checkpoint);
+    }
+  }
+
+  override onReplaced(session: WorkerSession): void {
+    this.fleet.drop(session);
+    this.schedulePlan();
+  }
+
+  private isOver(): boolean {
+    return this.isStopped;
+  }
+
+  private lose(reason: string): void {
+    if (this.isStopped) return;
+    this.stop();
+    this.journal.close();
+    this.options.logger.warn(LOG_EVENTS.placementLost, { epoch: this.options.lease.row.epoch, reason });
+    this.options.onLost();
+  }
+
+  private takeJobs(changes: readonly RowChange[]): void {
+    const cancelled: string[] = [];
+    for (const { key, value } of changes) {
+      const cancelledJob = cancelledJobOf(key);
+      if (value === null) this.state.book.forget(key);
+      else if (cancelledJob !== null) cancelled.push(cancelledJob);
+      else this.takeJob(value);
+    }
+    for (const jobId of cancelled) {
+      const job = this.state.cancel(jobId);
+      if (job !== null) this.stopRuns(job);
+    }
+    this.schedulePlan();
+  }
+
+  private takeJob(value: string): void {
+    const { clock, logger } = this.options;
+    const accepted = decodeJob(value);
+    const ageMs = this.isLoaded ? 0 : Math.max(0, clock.wallMs() - accepted.acceptedAtMs);
+    const progress = this.inheritedProgress.get(accepted.jobId);
+    const job = this.state.book.add(accepted, progress, clock.monotonicMs() - ageMs);
+    if (job === null) return;
+    this.state.adopt(job);
+    if (progress === undefined) {
+      logger.info(LOG_EVENTS.jobSeen, {
+        jobId: accepted.jobId,
+        queueId: accepted.queueId,
+        teamId: accepted.teamId,
+      });
+    }
+  }
+
+  private takeWorkers(changes: readonly RowChange[], complete: boolean): void {
+    if (complete) {
+      const named = new Set(changes.map(({ key }) => key));
+      for (const { worker } of [...this.fleet.all()]) {
+        if (!named.has(worker.workerId)) this.fleet.update(worker.workerId, null);
+      }
+    }
+    for (const { key, value } of changes) this.fleet.update(key, this.workerEntry(key, value));
+    this.schedulePlan();
+  }
+
+  private workerEntry(workerId: string, value: string | null): WorkerEntry | null {
+    if (value === null) return null;
+    try {
+      return this.options.rows.decodeWorkerEntry(workerId, value);
+    } catch (error) {
+      if (!(error instanceof UnusableRowError)) throw error;
+      this.options.counters.increment('placement.worker_entry_unusable');
+      this.options.logger.info(LOG_EVENTS.workerEntryUnusable, { workerId, reason: error.message });
+      return null;
+    }
+  }
+
+  private takeEnd(end: RunEnd, startedAtMs: number | null): void {
+    const job = this.state.endRun(end);
+    if (job === null) return;
+    if (end.kind === 'done' && startedAtMs !== null) {
+      const { estimateMs } = job.record.step(end.task.step);
+      const tookMs = this.options.clock.monotonicMs() - startedAtMs;
+      this.state.estimates.observe(job.record.job.queueId, estimateMs, tookMs);
+    }
+    this.afterEnd(job, end);
+  }
+
+  private onGone(end: RunEnd): void {
+    if (this.isStopped) return;
+    const job = this.state.endRun(end);
+    if (job === null) return;
+    this.afterEnd(job, end);
+    this.schedulePlan();
+  }
+
+  /** Stops what an end makes pointless: copies of a done task, the rest of a gang, all of an ended job. */
+  private afterEnd(job: OpenJob, end: RunEnd): void {
+    const { record } = job;
+    if (isEnded(record.state)) {
+      this.logEnd(job);
+      this.stopRuns(job);
+      return;
+    }
+    const { isGang } = record.step(end.task.step);
+    const siblings = record.runsOfStep(end.task.occurrence, end.task.step);
+    for (const run of siblings) {
+      const isCopy = run.task.index === end.task.index && end.kind === 'done';
+      if (isCopy || (isGang && end.kind !== 'done')) this.stopRun(run);
+    }
+  }
+
+  private logEnd({ record, acceptedAtMs }: OpenJob): void {
+    const { jobId, queueId } = record.job;
+    const tookMs = Math.round(this.options.clock.monotonicMs() - acceptedAtMs);
+    this.options.counters.increment('placement.job_ended', record.state);
+    this.options.logger.info(LOG_EVENTS.jobEnded, { jobId, queueId, state: record.state, tookMs });
+  }
+
+  private stopRuns({ record }: OpenJob): void {
+    for (const run of record.runs()) this.stopRun(run);
+  }
+
+  private stopRun({ task, run, workerId }: TaskRun): void {
+    this.fleet.get(workerId)?.stop(task, run);
+  }
+
+  private schedulePlan(): void {
+    if (this.planTimer !== null || this.isStopped || !this.isLoaded) return;
+    this.planTimer = this.options.clock.schedule(PLAN_DELAY_MS, () => {
+      this.planTimer = null;
+      this.plan();
+    });
+  }
+
+  private tick(): void {
+    if (this.isStopped) return;
+    this.tickTimer = this.options.clock.schedule(TICK_MS, () => {
+      this.tick();
+    });
+    this.fleet.sweep();
+    this.writeQueueStatus();
+    this.plan();
+  }
+
+  private plan(): void {
+    const rules = this.options.rules();
+    if (rules === null || this.isStopped || !this.journal.isValid()) return;
+    const nowMs = this.options.clock.monotonicMs();
+    const byPool = collectCandidates({ state: this.state, rules, nowMs, unixMs: this.unixMs() });
+    for (const [poolId, candidates] of byPool) this.planOne(poolId, candidates, rules, nowMs);
+  }
+
+  private planOne(poolId: string, candidates: readonly Candidate[], rules: FleetRules, nowMs: number): void {
+    const request = buildPlanRequest({
+      candidates,
+      workers: this.workersOf(poolId),
+      order: this.order,
+      state: this.state,
+      rules,
+      nowMs,
+      allowed: () => null,
+    });
+    const { assignments } = planPool(request);
+    if (assignments.length === 0) return;
+    const byStep = new Map(candidates.map((candidate) => [candidate.stepId, candidate]));
+    const runs = assignments.flatMap((assignment) => {
+      const candidate = byStep.get(assignment.stepId);
+      return candidate === undefined ? [] : [this.assign(candidate, assignment, assignments)];
+    });
+    this.journal.afterCommit(() => {
+      for (const [candidate, run] of runs) this.startRun(candidate, run);
+    });
+  }
+
+  private workersOf(poolId: string): readonly PlanWorker[] {
+    const workers: PlanWorker[] = [];
+    for (const session of this.fleet.all()) {
+      const { entry, worker } = session;
+      if (entry.poolId !== poolId || !session.isUsable() || !this.fleet.isListed(worker.workerId)) continue;
+      workers.push({
+        workerId: worker.workerId,
+        rack: entry.rack,
+        labels: entry.labels,
+        capacity: entry.capacity,
+        free: subtractResources(entry.capacity, this.state.occupancy.onWorker(worker.workerId)),
+        tasksLeft: Infinity,
+      });
+    }
+    return workers;
+  }
+
+  private assign(
+    { job, ready }: Candidate,
+    { index, workerId, stepId }: Assignment,
+    all: readonly Assignment[],
+  ): readonly [Candidate['job'], TaskRun] {
+    const { record } = job;
+    const { occurrence, step, definition } = ready;
+    const task = { jobId: record.job.jobId, occurrence, step, index };
+    const members = definition.isGang
+      ? all.filter((other) => other.stepId === stepId).map((other) => ({ ...task, index: other.index }))
+      : [task];
+    const previous = members.map((member) => record.task(member));
+    // Members that have already got this round's number must not raise it for the others.
+    const recorded = Math.max(0, ...previous.flatMap(({ runs }) => runs.map(({ run }) => run)));
+    const run = definition.isGang && recorded > 0 ? recorded : record.nextRun(members);
+    const bornMs = this.fleet.get(workerId)?.entry.bornMs ?? 0;
+    const taskRun = { task, run, workerId, bornMs };
+    this.state.addRun(record, taskRun);
+    return [job, taskRun];
+  }
+
+  /** Sends a start that is recorded, unless it has become pointless meanwhile. */
+  private startRun({ record }: OpenJob, run: TaskRun): void {
+    const session = this.fleet.get(run.workerId);
+    const isFitting = session?.entry.bornMs === run.bornMs && session.entry.state === 'ready';
+    if (session === undefined || !isFitting || !this.journal.isValid() || !this.state.isWanted(record, run)) {
+      this.onGone({ ...run, kind: 'lost', checkpoint: '' });
+      return;
+    }
+    this.options.counters.increment(
+      'placement.started',
+      isLongRunning(record.job.definition) ? 'lasting' : 'batch',
+    );
+    session.start({
+      task: run.task,
+      run: run.run,
+      spec: record.job.definition.spec,
+      checkpoint: record.checkpointOf(run.task),
+      ticket: null,
+    });
+  }
+
+  /** Unix time by the workers' clocks, which do not follow jumps of this machine's time of day. */
+  private unixMs(): number {
+    const readings: number[] = [];
+    for (const session of this.fleet.all()) {
+      const reading = session.unixMs();
+      if (reading !== null) readings.push(reading);
+    }
+    readings.sort((a, b) => a - b);
+    return readings[Math.floor(readings.length / 2)] ?? this.options.clock.wallMs();
+  }
+
+  private writeQueueStatus(): void {
+    const nowMs = this.options.clock.monotonicMs();
+    if (nowMs - this.queueStatusAtMs < QUEUE_STATUS_INTERVAL_MS) return;
+    this.queueStatusAtMs = nowMs;
+    for (const [queueId, pending] of this.state.book.pendingByQueue()) {
+      if (this.writtenPending.get(queueId) === pending) continue;
+      this.writtenPending.set(queueId, pending);
+      this.journal.stage({ ...queueStatusAddress(queueId), value: encodeQueueStatus({ pending }) });
+    }
+  }
+}
--- /dev/null
+++ b/placement/placement_state.ts
@@ -0,0 +1,108 @@
+/** What the holder of the placement role knows; shared by the parts that decide. */
+import type { Clock } from '../kernel/clock';
+import type { FleetRules } from '../scheduling/fleet_rules';
+import type { JobRecord, RunEnd, TaskRun } from '../scheduling/job_record';
+import { encodeProgress, progressAddress } from '../scheduling/job_rows';
+import { isEnded } from '../scheduling/job_progress';
+import type { Counters } from '../telemetry/counters';
+import { JobBook, type OpenJob } from './job_book';
+import { Occupancy } from './occupancy';
+import type { PlacementJournal } from './placement_journal';
+import { RunEstimates } from './run_estimates';
+
+export interface PlacementStateOptions {
+  readonly clock: Clock;
+  readonly journal: PlacementJournal;
+  readonly counters: Counters;
+  readonly rules: () => FleetRules | null;
+}
+
+/** A run that is recorded, with the job that it belongs to. */
+export interface RecordedRun extends TaskRun {
+  readonly record: JobRecord;
+}
+
+/**
+ * Changes jobs and keeps everything that is derived from them in step: what is
+ * occupied, which runs a worker has, and the rows to store.
+ */
+export class PlacementState {
+  readonly book: JobBook;
+  readonly occupancy = new Occupancy();
+  readonly estimates = new RunEstimates();
+  private readonly runsByWorker = new Map<string, Map<string, RecordedRun>>();
+
+  constructor(private readonly options: PlacementStateOptions) {
+    this.book = new JobBook((queueId) => options.rules()?.queues.get(queueId)?.maxAttempts ?? Infinity);
+  }
+
+  /** Takes over the runs that are recorded in a job's progress. */
+  adopt(job: OpenJob): void {
+    for (const run of job.record.runs()) this.count(job.record, run, 1);
+  }
+
+  /** Records a run; the store has it after the next commit. */
+  addRun(record: JobRecord, run: TaskRun): void {
+    record.addRun(run.task, { run: run.run, workerId: run.workerId, bornMs: run.bornMs });
+    this.count(record, run, 1);
+    this.store(record);
+  }
+
+  /** Takes the end of a run. Returns the job if the run was a recorded one. */
+  endRun(end: RunEnd): OpenJob | null {
+    const job = this.book.get(end.task.jobId);
+    if (job?.record.endRun(end) !== true) return null;
+    this.count(job.record, { ...end, bornMs: 0 }, -1);
+    this.options.counters.increment('placement.run_ended', end.kind);
+    this.store(job.record);
+    return job;
+  }
+
+  cancel(jobId: string): OpenJob | null {
+    const job = this.book.get(jobId);
+    if (job?.record.cancel() !== true) return null;
+    this.store(job.record);
+    return job;
+  }
+
+  /** Stages a job's progress, and drops the job once nothing of it is left to do. */
+  store(record: JobRecord): void {
+    const { jobId } = record.job;
+    this.options.journal.stage({ ...progressAddress(jobId), value: encodeProgress(record.progress) });
+    if (record.isSettled()) this.book.settle(jobId);
+  }
+
+  runsOn(workerId: string): readonly RecordedRun[] {
+    return [...(this.runsByWorker.get(workerId)?.values() ?? [])];
+  }
+
+  runCountOn(workerId: string): number {
+    return this.runsByWorker.get(workerId)?.size ?? 0;
+  }
+
+  /** Whether a run is still wanted when its start can be sent. */
+  isWanted(record: JobRecord, run: TaskRun): boolean {
+    if (isEnded(record.state)) return false;
+    const task = record.task(run.task);
+    return !task.isDone && task.runs.some(({ run: number }) => number === run.run);
+  }
+
+  private count(record: JobRecord, run: TaskRun, sign: 1 | -1): void {
+    const occupying = {
+      workerId: run.workerId,
+      teamId: record.job.teamId,
+      step: record.step(run.task.step),
+    };
+    const runs = this.runsByWorker.get(run.workerId) ?? new Map<string, RecordedRun>();
+    this.runsByWorker.set(run.workerId, runs);
+    const { jobId, occurrence, step, index } = run.task;
+    const key = `${jobId}.${occurrence}.${step}.${index}#${run.run}`;
+    if (sign === 1) {
+      this.occupancy.add(occupying);
+      runs.set(key, { ...run, record });
+    } else {
+      this.occupancy.remove(occupying);
+      runs.delete(key);
+    }
+  }
+}
--- /dev/null
+++ b/placement/queue_status.ts
@@ -0,0 +1,23 @@
+/** Row that says how many jobs of a queue wait. */
+import { z } from 'zod';
+import { PLACEMENT_PARTITION } from '../scheduling/job_rows';
+import type { RowAddress } from '../store/row_store';
+
+const queueStatusSchema = z.object({
+  /** Accepted jobs of which no task has started. */
+  pending: z.int().min(0),
+});
+
+export type QueueStatus = Readonly<z.infer<typeof queueStatusSchema>>;
+
+export function queueStatusAddress(queueId: string): RowAddress {
+  return { table: 'queues', partition: PLACEMENT_PARTITION, key: queueId };
+}
+
+export function encodeQueueStatus(status: QueueStatus): string {
+  return JSON.stringify(status);
+}
+
+export function decodeQueueStatus(value: string): QueueStatus {
+  return queueStatusSchema.parse(JSON.parse(value));
+}
--- /dev/null
+++ b/scheduling/job_record.ts
@@ -0,0 +1,288 @@
+/** One job with its progress, as the holder of the placement role changes it. */
+import {
+  isLongRunning,
+  occurrenceCount,
+  taskKey,
+  type AcceptedJob,
+  type StepDefinition,
+  type TaskId,
+} from './job_definition';
+import {
+  isEnded,
+  NEW_JOB,
+  NEW_TASK,
+  type JobProgress,
+  type JobState,
+  type RunRecord,
+  type TaskProgress,
+} from './job_progress';
+import type { EndKind } from './worker_gateway';
+
+/** A step of one occurrence whose turn has come, with the tasks that wait for a worker. */
+export interface ReadyStep {
+  readonly occurrence: number;
+  readonly step: number;
+  readonly definition: StepDefinition;
+  readonly waiting: readonly number[];
+}
+
+/** A recorded run with the task that it belongs to. */
+export interface TaskRun extends RunRecord {
+  readonly task: TaskId;
+}
+
+/** What the end of a run means. */
+export interface RunEnd {
+  readonly task: TaskId;
+  readonly run: number;
+  readonly workerId: string;
+  readonly kind: EndKind | 'lost';
+  readonly checkpoint: string;
+}
+
+export interface JobRecordOptions {
+  readonly job: AcceptedJob;
+  readonly progress?: JobProgress;
+  /** Runs of one task that may end as failed; the operator may change it while the job runs. */
+  readonly maxAttempts: () => number;
+}
+
+/**
+ * Keeps the tasks of a job and decides its state. Nothing here does input or
+ * output; the owner stores {@link JobRecord.progress} after a change.
+ *
+ * @example
+ * ```ts
+ * const record = new JobRecord({ job, maxAttempts: () => 2 });
+ * const [step] = record.readySteps(nowMs);
+ * ```
+ */
+export class JobRecord {
+  readonly job: AcceptedJob;
+  private readonly maxAttempts: () => number;
+  private readonly tasks: Map<string, TaskProgress>;
+  private readonly doneOfStep = new Map<string, number>();
+  /** Workers on which a task has failed, so that the next run goes elsewhere. */
+  private readonly failedOn = new Map<string, readonly string[]>();
+  private currentState: JobState;
+  private openRuns = 0;
+  private firstOpenOccurrence = 0;
+
+  constructor({ job, progress = NEW_JOB, maxAttempts }: JobRecordOptions) {
+    this.job = job;
+    this.maxAttempts = maxAttempts;
+    this.tasks = new Map(progress.tasks);
+    this.currentState = progress.state;
+    for (const [key, task] of this.tasks) {
+      this.openRuns += task.runs.length;
+      if (task.isDone) this.countDone(key);
+    }
+  }
+
+  get state(): JobState {
+    return this.currentState;
+  }
+
+  get progress(): JobProgress {
+    // An ended job needs its tasks only until nothing runs any more.
+    const needsTasks = !isEnded(this.currentState) || this.openRuns > 0;
+    return { state: this.currentState, tasks: needsTasks ? this.tasks : NEW_JOB.tasks };
+  }
+
+  /** Whether the job has ended and nothing of it runs. */
+  isSettled(): boolean {
+    return isEnded(this.currentState) && this.openRuns === 0;
+  }
+
+  hasRuns(): boolean {
+    return this.openRuns > 0;
+  }
+
+  step(number: number): StepDefinition {
+    const step = this.job.definition.steps[number];
+    if (step === undefined) throw new RangeError(`Job ${this.job.jobId} has no step ${number}.`);
+    return step;
+  }
+
+  task(id: Omit<TaskId, 'jobId'>): TaskProgress {
+    return this.tasks.get(taskKey(id)) ?? NEW_TASK;
+  }
+
+  failedWorkers(id: Omit<TaskId, 'jobId'>): readonly string[] {
+    return this.failedOn.get(taskKey(id)) ?? [];
+  }
+
+  /** All runs that have been recorded and have not ended. */
+  runs(): readonly TaskRun[] {
+    if (this.openRuns === 0) return [];
+    return [...this.tasks].flatMap(([key, task]) =>
+      task.runs.map((run) => ({ ...run, task: { jobId: this.job.jobId, ...parseKey(key) } })),
+    );
+  }
+
+  /** Recorded runs of one step of one occurrence. */
+  runsOfStep(occurrence: number, step: number): readonly TaskRun[] {
+    const { taskCount } = this.step(step);
+    const found: TaskRun[] = [];
+    for (let index = 0; index < taskCount; index += 1) {
+      const task = { jobId: this.job.jobId, occurrence, step, index };
+      for (const run of this.task(task).runs) found.push({ ...run, task });
+    }
+    return found;
+  }
+
+  /** Steps with waiting tasks whose turn has come; `nowMs` is Unix time. */
+  readySteps(nowMs: number): readonly ReadyStep[] {
+    if (isEnded(this.currentState)) return [];
+    const ready: ReadyStep[] = [];
+    const last = occurrenceCount(this.job.definition) - 1;
+    for (let occurrence = this.firstOpenOccurrence; occurrence <= last; occurrence += 1) {
+      if (this.dueAtMs(occurrence) > nowMs) break;
+      this.collectReady(occurrence, ready);
+    }
+    return ready;
+  }
+
+  /** When an occurrence may start, in Unix milliseconds; 0 for jobs without a schedule. */
+  dueAtMs(occurrence: number): number {
+    const { repeat } = this.job.definition;
+    return repeat === null ? 0 : repeat.firstMs + occurrence * repeat.intervalMs;
+  }
+
+  /** When the next occurrence that is not due yet falls due; `null` if none is left. */
+  nextDueMs(nowMs: number): number | null {
+    if (this.job.definition.repeat === null || isEnded(this.currentState)) return null;
+    for (let occurrence = 0; occurrence < occurrenceCount(this.job.definition); occurrence += 1) {
+      const dueMs = this.dueAtMs(occurrence);
+      if (dueMs > nowMs) return dueMs;
+    }
+    return null;
+  }
+
+  /** The number for the next run of tasks; members of a gang share it. */
+  nextRun(tasks: readonly Omit<TaskId, 'jobId'>[]): number {
+    return 1 + Math.max(...tasks.map((task) => this.task(task).lastRun));
+  }
+
+  /** Records that a run is about to be ordered. */
+  addRun(id: Omit<TaskId, 'jobId'>, run: RunRecord): void {
+    const task = this.task(id);
+    this.tasks.set(taskKey(id), {
+      ...task,
+      lastRun: Math.max(task.lastRun, run.run),
+      runs: [...task.runs, run],
+    });
+    this.openRuns += 1;
+    if (this.currentState === 'queued') this.currentState = 'running';
+  }
+
+  /** Takes the end of a run into account. Returns whether the run was a recorded one. */
+  endRun(end: RunEnd): boolean {
+    const task = this.task(end.task);
+    const runs = task.runs.filter(({ run, workerId }) => run !== end.run || workerId !== end.workerId);
+    if (runs.length === task.runs.length) return false;
+    this.openRuns -= 1;
+    this.tasks.set(taskKey(end.task), { ...task, runs });
+    if (end.checkpoint !== '') this.keepCheckpoint(end.task, end.checkpoint);
+    if (end.kind === 'done') this.markDone(end.task);
+    if (end.kind === 'failed') this.countFailure(end);
+    this.settleState();
+    return true;
+  }
+
+  /** Keeps saved progress that a running task reports. */
+  keepCheckpoint(id: Omit<TaskId, 'jobId'>, checkpoint: string): void {
+    const holder = this.checkpointHolder(id);
+    this.tasks.set(taskKey(holder), { ...this.task(holder), checkpoint });
+  }
+
+  /** Saved progress from which a task resumes; members of a gang share it. */
+  checkpointOf(id: Omit<TaskId, 'jobId'>): string {
+    return this.task(this.checkpointHolder(id)).checkpoint;
+  }
+
+  /** Returns whether this changed the state. */
+  cancel(): boolean {
+    if (isEnded(this.currentState)) return false;
+    this.currentState = 'cancelled';
+    return true;
+  }
+
+  isStepDone(occurrence: number, step: number): boolean {
+    return (this.doneOfStep.get(`${occurrence}.${step}`) ?? 0) >= this.step(step).taskCount;
+  }
+
+  private checkpointHolder(id: Omit<TaskId, 'jobId'>): Omit<TaskId, 'jobId'> {
+    return this.step(id.step).isGang ? { ...id, index: 0 } : id;
+  }
+
+  private collectReady(occurrence: number, ready: ReadyStep[]): void {
+    const { steps } = this.job.definition;
+    const open = steps.flatMap((definition, step) =>
+      this.isStepDone(occurrence, step) ? [] : [{ definition, step }],
+    );
+    if (open.length === 0 && occurrence === this.firstOpenOccurrence) this.firstOpenOccurrence += 1;
+    for (const { definition, step } of open) {
+      if (!definition.after.every((earlier) => this.isStepDone(occurrence, earlier))) continue;
+      const waiting = this.waitingTasks(occurrence, step, definition);
+      if (waiting.length > 0) ready.push({ occurrence, step, definition, waiting });
+    }
+  }
+
+  private waitingTasks(occurrence: number, step: number, definition: StepDefinition): readonly number[] {
+    const waiting: number[] = [];
+    for (let index = 0; index < definition.taskCount; index += 1) {
+      const task = this.task({ occurrence, step, index });
+      if (!task.isDone && task.runs.length === 0) waiting.push(index);
+    }
+    // A gang starts again only when all of its members have ended.
+    return definition.isGang && waiting.length < definition.taskCount ? [] : waiting;
+  }
+
+  private markDone(id: TaskId): void {
+    const { isGang, taskCount, isLongRunning: lasts } = this.step(id.step);
+    if (lasts) return;
+    // One end as done stands for the whole gang.
+    const indices = isGang ? Array.from({ length: taskCount }, (_, index) => index) : [id.index];
+    for (const index of indices) {
+      const key = taskKey({ ...id, index });
+      const task = this.tasks.get(key) ?? NEW_TASK;
+      if (task.isDone) continue;
+      this.tasks.set(key, { ...task, isDone: true, checkpoint: '' });
+      this.countDone(key);
+    }
+  }
+
+  private countDone(key: string): void {
+    const { occurrence, step } = parseKey(key);
+    const name = `${occurrence}.${step}`;
+    this.doneOfStep.set(name, (this.doneOfStep.get(name) ?? 0) + 1);
+  }
+
+  private countFailure({ task: id, run, workerId }: RunEnd): void {
+    const step = this.step(id.step);
+    const key = taskKey(id);
+    this.failedOn.set(key, [...(this.failedOn.get(key) ?? []), workerId]);
+    if (step.isLongRunning) return;
+    const counted = this.checkpointHolder(id);
+    const task = this.task(counted);
+    if (task.isDone || (step.isGang && task.lastFailedRun >= run)) return;
+    const failures = task.failures + 1;
+    this.tasks.set(taskKey(counted), { ...task, failures, lastFailedRun: run });
+    if (failures >= this.maxAttempts() && !isEnded(this.currentState)) this.currentState = 'failed';
+  }
+
+  private settleState(): void {
+    if (isEnded(this.currentState) || isLongRunning(this.job.definition)) return;
+    const last = occurrenceCount(this.job.definition) - 1;
+    const isDone = (occurrence: number): boolean =>
+      this.job.definition.steps.every((_, step) => this.isStepDone(occurrence, step));
+    for (let occurrence = last; occurrence >= 0; occurrence -= 1) if (!isDone(occurrence)) return;
+    this.currentState = 'completed';
+  }
+}
+
+function parseKey(key: string): Omit<TaskId, 'jobId'> {
+  const [occurrence = 0, step = 0, index = 0] = key.split('.').map(Number);
+  return { occurrence, step, index };
+}
--- /dev/null
+++ b/scheduling/job_rows.ts
@@ -0,0 +1,154 @@
+/** Rows in which jobs and their progress are kept, and their encoding. */
+import { z } from 'zod';
+import type { RowAddress } from '../store/row_store';
+import type { AcceptedJob } from './job_definition';
+import type { JobProgress, TaskProgress } from './job_progress';
+
+/** Accepted jobs and requests to cancel them; written by the process that took the call. */
+export const JOB_TABLE = 'jobs';
+/** Progress of jobs; written by the holder of the placement role only. */
+export const PROGRESS_TABLE = 'progress';
+/** Partition of everything that the holder of the placement role writes, so that one transaction covers it. */
+export const PLACEMENT_PARTITION = 'placement';
+
+/** Version of both encodings. Readers accept rows of this version and ignore fields that they do not know. */
+const ENCODING_VERSION = 1;
+
+/** Partitions of {@link JOB_TABLE}: each takes a bounded number of transactions a second. */
+const JOB_PARTITION_COUNT = 4;
+export const JOB_PARTITIONS: readonly string[] = Array.from({ length: JOB_PARTITION_COUNT }, (_, index) =>
+  String(index),
+);
+
+/** Longest progress value, in bytes before the store's own encoding of 4 bytes for 3; a row holds 64 KiB. */
+export const MAX_PROGRESS_BYTES = 45_000;
+
+const CANCEL_SUFFIX = '/cancel';
+
+/** A row was written by a later version of the system, or is damaged. */
+export class RowFormatError extends Error {
+  override readonly name = 'RowFormatError';
+}
+
+function partitionOf(jobId: string): string {
+  let sum = 0;
+  for (let index = 0; index < jobId.length; index += 1) sum += jobId.charCodeAt(index);
+  return String(sum % JOB_PARTITION_COUNT);
+}
+
+export function jobAddress(jobId: string): RowAddress {
+  return { table: JOB_TABLE, partition: partitionOf(jobId), key: jobId };
+}
+
+export function cancelAddress(jobId: string): RowAddress {
+  return { table: JOB_TABLE, partition: partitionOf(jobId), key: jobId + CANCEL_SUFFIX };
+}
+
+export function progressAddress(jobId: string): RowAddress {
+  return { table: PROGRESS_TABLE, partition: PLACEMENT_PARTITION, key: jobId };
+}
+
+/** The job that a key of {@link JOB_TABLE} asks to cancel; `null` for the row of a job itself. */
+export function cancelledJobOf(key: string): string | null {
+  return key.endsWith(CANCEL_SUFFIX) ? key.slice(0, -CANCEL_SUFFIX.length) : null;
+}
+
+const resourcesSchema = z.object({
+  processors: z.number(),
+  memoryBytes: z.number(),
+  accelerators: z.number(),
+});
+
+const stepSchema = z.object({
+  taskCount: z.int(),
+  demand: resourcesSchema,
+  estimateMs: z.number(),
+  after: z.array(z.int()).readonly(),
+  savesProgress: z.boolean(),
+  isGang: z.boolean(),
+  isRackSensitive: z.boolean(),
+  requiredLabel: z.string().nullable(),
+  dataRack: z.string().nullable(),
+  maxPerWorker: z.int().nullable(),
+  isSpeculative: z.boolean(),
+  isLongRunning: z.boolean(),
+  image: z.string(),
+  targetMs: z.number().nullable(),
+  isFiller: z.boolean(),
+  maxUnavailable: z.int().nullable(),
+});
+
+const jobRowSchema = z.object({
+  encoding: z.literal(ENCODING_VERSION),
+  jobId: z.string(),
+  queueId: z.string(),
+  teamId: z.string().nullable(),
+  acceptedAtMs: z.number(),
+  definition: z.object({
+    spec: z.string(),
+    steps: z.array(stepSchema).readonly(),
+    repeat: z.object({ count: z.int(), firstMs: z.number(), intervalMs: z.number() }).nullable(),
+  }),
+});
+
+export function encodeJob(job: AcceptedJob): string {
+  return JSON.stringify({ encoding: ENCODING_VERSION, ...job });
+}
+
+/** Throws {@link RowFormatError}. */
+export function decodeJob(value: string): AcceptedJob {
+  const parsed = jobRowSchema.safeParse(parseJson(value));
+  if (!parsed.success) throw new RowFormatError(`The row of a job is not readable: ${parsed.error.message}`);
+  const { jobId, queueId, teamId, acceptedAtMs, definition } = parsed.data;
+  return { jobId, queueId, teamId, acceptedAtMs, definition };
+}
+
+const runSchema = z.tuple([z.int(), z.string(), z.number()]);
+const taskSchema = z.tuple([
+  z.string(),
+  z.union([z.literal(0), z.literal(1)]),
+  z.int(),
+  z.int(),
+  z.int(),
+  z.string(),
+  z.array(runSchema),
+]);
+const progressRowSchema = z.object({
+  encoding: z.literal(ENCODING_VERSION),
+  state: z.enum(['queued', 'running', 'completed', 'failed', 'cancelled']),
+  tasks: z.array(taskSchema).default([]),
+});
+
+export function encodeProgress({ state, tasks }: JobProgress): string {
+  const rows = [...tasks].map(([key, task]) => [
+    key,
+    task.isDone ? 1 : 0,
+    task.failures,
+    task.lastFailedRun,
+    task.lastRun,
+    task.checkpoint,
+    task.runs.map(({ run, workerId, bornMs }) => [run, workerId, bornMs]),
+  ]);
+  return JSON.stringify({ encoding: ENCODING_VERSION, state, ...(rows.length > 0 ? { tasks: rows } : {}) });
+}
+
+/** Throws {@link RowFormatError}. */
+export function decodeProgress(value: string): JobProgress {
+  const parsed = progressRowSchema.safeParse(parseJson(value));
+  if (!parsed.success) throw new RowFormatError(`A row of progress is not readable: ${parsed.error.message}`);
+  return { state: parsed.data.state, tasks: new Map(parsed.data.tasks.map(decodeTask)) };
+}
+
+function decodeTask(row: z.infer<typeof taskSchema>): readonly [string, TaskProgress] {
+  const [key, isDone, failures, lastFailedRun, lastRun, checkpoint, runs] = row;
+  const records = runs.map(([run, workerId, bornMs]) => ({ run, workerId, bornMs }));
+  return [key, { isDone: isDone === 1, failures, lastFailedRun, lastRun, checkpoint, runs: records }];
+}
+
+function parseJson(value: string): unknown {
+  try {
+    return JSON.parse(value) as unknown;
+  } catch {
+    throw new RowFormatError('The row is not JSON.');
+  }
+}
--- /dev/null
+++ b/scheduling/placement_planner.ts
@@ -0,0 +1,223 @@
+/** Chooses workers for the waiting tasks of one pool. */
+import {
+  addResources,
+  dominantShare,
+  fitsInto,
+  NO_RESOURCES,
+  subtractResources,
+  type Resources,
+} from '../model/resources';
+import { occupiedBy, type StepDefinition } from './job_definition';
+
+/** A worker that may take tasks. */
+export interface PlanWorker {
+  readonly workerId: string;
+  readonly rack: string;
+  readonly labels: readonly string[];
+  readonly capacity: Resources;
+  readonly free: Resources;
+  /** Tasks that it may still take, fewer for a worker that has just failed some. */
+  readonly tasksLeft: number;
+}
+
+/** Waiting tasks of one step, in the order in which they should be placed. */
+export interface PlanStep {
+  readonly stepId: string;
+  readonly teamId: string | null;
+  readonly definition: StepDefinition;
+  readonly waiting: readonly number[];
+  /** Runs of the step by worker. */
+  readonly placed: ReadonlyMap<string, number>;
+  /** Workers on which the step's tasks have failed. */
+  readonly avoid: ReadonlySet<string>;
+  /** Workers that the queue's policy allows; `null` if it has none. */
+  readonly allowed: ReadonlySet<string> | null;
+  /** Whether the step has waited long enough to run far from its data. */
+  readonly mayRunRemote: boolean;
+  /** Tasks of the step that may start at once; limits how much of a pool one job takes. */
+  readonly maxStarts: number;
+}
+
+/** What a team may still start; `null` if it has no limit. */
+export type TeamRoom = ReadonlyMap<string, Resources>;
+
+export interface PlanRequest {
+  readonly workers: readonly PlanWorker[];
+  readonly steps: readonly PlanStep[];
+  readonly teamRoom: TeamRoom;
+}
+
+export interface Assignment {
+  readonly stepId: string;
+  readonly index: number;
+  readonly workerId: string;
+}
+
+export interface Plan {
+  readonly assignments: readonly Assignment[];
+  /** Steps of which a task found no worker with room. */
+  readonly unplaced: readonly string[];
+}
+
+/**
+ * Places the steps in their order, each task where it fits best.
+ *
+ * @example
+ * ```ts
+ * const { assignments } = planPool({ workers, steps, teamRoom: new Map() });
+ * ```
+ */
+export function planPool(request: PlanRequest): Plan {
+  const round = new PlanRound(request);
+  for (const step of request.steps) round.place(step);
+  return round.result();
+}
+
+/** A place that a step has tentatively taken. */
+interface Placed {
+  readonly index: number;
+  readonly workerId: string;
+}
+
+class PlanRound {
+  private readonly workers: Map<string, PlanWorker>;
+  private readonly teamRoom: Map<string, Resources>;
+  private readonly assignments: Assignment[] = [];
+  private readonly unplaced: string[] = [];
+  /** Demands that fitted nowhere, of steps without any wish: larger ones need not be tried. */
+  private readonly misfits: Resources[] = [];
+
+  constructor({ workers, teamRoom }: PlanRequest) {
+    this.workers = new Map(workers.map((worker) => [worker.workerId, worker]));
+    this.teamRoom = new Map(teamRoom);
+  }
+
+  result(): Plan {
+    return { assignments: this.assignments, unplaced: this.unplaced };
+  }
+
+  place(step: PlanStep): void {
+    const needsAll = step.definition.isGang;
+    const wanted = step.waiting.slice(0, needsAll ? undefined : step.maxStarts);
+    const placed = this.placeTogether(step, wanted);
+    if (placed.length < step.waiting.length) this.unplaced.push(step.stepId);
+    for (const { index, workerId } of placed) this.assignments.push({ stepId: step.stepId, index, workerId });
+  }
+
+  /** Places what fits; all tasks or none for a gang. A rack-sensitive step goes to one rack if it can. */
+  private placeTogether(step: PlanStep, wanted: readonly number[]): readonly Placed[] {
+    const racks = step.definition.isRackSensitive ? this.racksByRoom(step) : [null];
+    let best: readonly Placed[] = [];
+    for (const rack of [...racks, ...(racks[0] === null ? [] : [null])]) {
+      const placed = this.tryRack(step, wanted, rack);
+      if (placed.length === wanted.length) return placed;
+      this.undo(step, placed);
+      if (placed.length > best.length) best = placed;
+    }
+    if (step.definition.isGang || best.length === 0) return [];
+    return this.tryRack(step, wanted, null);
+  }
+
+  private tryRack(step: PlanStep, wanted: readonly number[], rack: string | null): readonly Placed[] {
+    const counts = new Map(step.placed);
+    const placed: Placed[] = [];
+    for (const index of wanted) {
+      const workerId = this.choose(step, counts, rack);
+      if (workerId === null) break;
+      counts.set(workerId, (counts.get(workerId) ?? 0) + 1);
+      this.occupy(step, workerId, 1);
+      placed.push({ index, workerId });
+    }
+    return placed;
+  }
+
+  private undo(step: PlanStep, placed: readonly Placed[]): void {
+    for (const { workerId } of placed) this.occupy(step, workerId, -1);
+  }
+
+  private choose(step: PlanStep, counts: ReadonlyMap<string, number>, rack: string | null): string | null {
+    const demand = occupiedBy(step.definition);
+    if (!this.teamAllows(step)) return null;
+    if (this.misfits.some((misfit) => fitsInto(misfit, demand))) return null;
+    let best: PlanWorker | null = null;
+    let bestCost = Infinity;
+    for (const worker of this.workers.values()) {
+      if (rack !== null && worker.rack !== rack) continue;
+      if (!this.mayTake(worker, step, counts, demand)) continue;
+      const cost = placementCost(worker, step, counts, demand);
+      if (cost < bestCost) [best, bestCost] = [worker, cost];
+    }
+    if (best === null && rack === null && isUnrestricted(step)) this.misfits.push(demand);
+    return best?.workerId ?? null;
+  }
+
+  private mayTake(
+    worker: PlanWorker,
+    step: PlanStep,
+    counts: ReadonlyMap<string, number>,
+    demand: Resources,
+  ): boolean {
+    const { requiredLabel, maxPerWorker, dataRack } = step.definition;
+    if (worker.tasksLeft <= 0 || !fitsInto(demand, worker.free)) return false;
+    if (requiredLabel !== null && !worker.labels.includes(requiredLabel)) return false;
+    if (maxPerWorker !== null && (counts.get(worker.workerId) ?? 0) >= maxPerWorker) return false;
+    if (step.allowed !== null && !step.allowed.has(worker.workerId)) return false;
+    return dataRack === null || step.mayRunRemote || worker.rack === dataRack;
+  }
+
+  private teamAllows({ teamId, definition }: PlanStep): boolean {
+    const room = teamId === null ? undefined : this.teamRoom.get(teamId);
+    return room === undefined || fitsInto(definition.demand, room);
+  }
+
+  private occupy({ teamId, definition }: PlanStep, workerId: string, sign: 1 | -1): void {
+    const change = sign === 1 ? subtractResources : addResources;
+    const worker = this.workers.get(workerId);
+    if (worker !== undefined) {
+      const free = change(worker.free, occupiedBy(definition));
+      this.workers.set(workerId, { ...worker, free, tasksLeft: worker.tasksLeft - sign });
+    }
+    const room = teamId === null ? undefined : this.teamRoom.get(teamId);
+    if (teamId !== null && room !== undefined) this.teamRoom.set(teamId, change(room, definition.demand));
+  }
+
+  private racksByRoom({ definition }: PlanStep): readonly (string | null)[] {
+    const room = new Map<string, Resources>();
+    for (const { rack, free } of this.workers.values()) {
+      room.set(rack, addResources(room.get(rack) ?? NO_RESOURCES, free));
+    }
+    return [...room]
+      .sort(([rackA, a], [rackB, b]) => {
+        if (rackA === definition.dataRack) return -1;
+        if (rackB === definition.dataRack) return 1;
+        return b.processors - a.processors;
+      })
+      .map(([rack]) => rack);
+  }
+}
+
+function isUnrestricted({ definition, allowed }: PlanStep): boolean {
+  const { requiredLabel, maxPerWorker, dataRack } = definition;
+  return requiredLabel === null && maxPerWorker === null && dataRack === null && allowed === null;
+}
+
+/** Cost of a run far from its data, and of a worker on which the step has failed: more than any difference in room. */
+const REMOTE_COST = 10;
+const FAILED_BEFORE_COST = 100;
+/** Cost of another task of a long-running step on the same rack and worker, so that one failure takes few. */
+const SAME_WORKER_COST = 4;
+
+/** Lower is better. Short tasks fill workers up, so that others become empty; lasting ones spread. */
+function placementCost(
+  worker: PlanWorker,
+  { definition, avoid, placed }: PlanStep,
+  counts: ReadonlyMap<string, number>,
+  demand: Resources,
+): number {
+  const left = dominantShare(subtractResources(worker.free, demand), worker.capacity);
+  const remote = definition.dataRack !== null && definition.dataRack !== worker.rack ? REMOTE_COST : 0;
+  const failed = avoid.has(worker.workerId) ? FAILED_BEFORE_COST : 0;
+  const together = definition.isLongRunning ? (counts.get(worker.workerId) ?? 0) * SAME_WORKER_COST : 0;
+  const sibling = placed.size > 0 && definition.isLongRunning && placed.has(worker.workerId) ? 1 : 0;
+  return left + remote + failed + together + sibling;
+}
--- /dev/null
+++ b/store/table_follower.ts
@@ -0,0 +1,97 @@
+/** Keeps a process informed of the rows of a table. */
+import type { Clock } from '../kernel/clock';
+import { HistoryGoneError, isStoreFailure, type RowChange, type RowStore } from './row_store';
+
+/** Pause after a failed call before the next one, in milliseconds; the configuration has to be in force 2 s after the store is back. */
+const RETRY_MS = 150;
+
+export interface TableFollowerOptions {
+  readonly store: RowStore;
+  readonly clock: Clock;
+  readonly table: string;
+  readonly partitions: readonly string[];
+  /** How long one call waits for a change, in milliseconds. A connection that has gone silent is noticed after it. */
+  readonly waitMs: number;
+  /** Pause between two calls, in milliseconds, so that a table that changes all the time costs few calls. */
+  readonly pauseMs?: number;
+  /** Receives changes in the order of their versions; `complete` says that rows which are not named do not exist. */
+  readonly onChanges: (changes: readonly RowChange[], complete: boolean) => void;
+  /** Called after every call, with whether the store answered. */
+  readonly onContact?: (reached: boolean) => void;
+}
+
+/**
+ * Reads a table once and follows its feed from there; reads it again when the
+ * feed's history is gone.
+ *
+ * @example
+ * ```ts
+ * const follower = new TableFollower({ store, clock, table: 'op', partitions: [''], waitMs: 1500, onChanges });
+ * void follower.run();
+ * ```
+ */
+export class TableFollower {
+  private stopped = false;
+  private version: number | null = null;
+
+  constructor(private readonly options: TableFollowerOptions) {}
+
+  /** Runs until {@link stop}; resolves then. */
+  async run(): Promise<void> {
+    while (!this.stopped) {
+      const reached = await this.step();
+      if (this.isStopped()) return;
+      this.options.onContact?.(reached);
+      if (!reached) await this.options.clock.delay(RETRY_MS);
+      else if (this.options.pauseMs !== undefined) await this.options.clock.delay(this.options.pauseMs);
+    }
+  }
+
+  stop(): void {
+    this.stopped = true;
+  }
+
+  /** Whether the table has been read completely. */
+  isLoaded(): boolean {
+    return this.version !== null;
+  }
+
+  /** Reads the whole table; later changes follow by {@link run}. Throws as {@link RowStore.read}. */
+  async load(): Promise<void> {
+    const { store, table, partitions } = this.options;
+    const snapshots = await Promise.all(partitions.map((partition) => store.read({ table, partition })));
+    if (this.stopped) return;
+    this.version = Math.min(...snapshots.map(({ version }) => version));
+    this.options.onChanges(
+      snapshots.flatMap(({ rows }) => rows),
+      true,
+    );
+  }
+
+  private isStopped(): boolean {
+    return this.stopped;
+  }
+
+  private async step(): Promise<boolean> {
+    try {
+      if (this.version === null) await this.load();
+      else await this.follow(this.version);
+      return true;
+    } catch (error) {
+      if (error instanceof HistoryGoneError) {
+        this.version = null;
+        return true;
+      }
+      if (isStoreFailure(error)) return false;
+      throw error;
+    }
+  }
+
+  private async follow(version: number): Promise<void> {
+    const { store, table, waitMs } = this.options;
+    const page = await store.changes(table, version, waitMs);
+    if (this.stopped) return;
+    this.version = page.version;
+    if (page.changes.length > 0) this.options.onChanges(page.changes, false);
+  }
+}
