Carry out maintenance waves and size the pools by their demand

Cause: eleven duties were missed for a wave that nobody carried out, and idle instances stayed in their pools.

Change: adds wave plans, pool sizes, evacuation of lasting tasks within their budget, replacement of stuck runs, copies of speculative tasks, pace, advice, and learned worker health.

--- /dev/null
+++ b/placement/advice_book.ts
@@ -0,0 +1,88 @@
+/** Asks for the permissions that a queue's policy demands, and keeps those that are valid. */
+import type { Clock } from '../kernel/clock';
+import type { AdviceRule } from '../scheduling/fleet_rules';
+import { AdviceUnavailableError, type PlacementAdvice, type StepName } from '../scheduling/placement_advice';
+import type { Counters } from '../telemetry/counters';
+
+/** Workers of one question; the targets of jobs allow for one question on this many. */
+const MAX_WORKERS = 30;
+
+/** Questions under way; the service answers one after the other and refuses beyond 32. */
+const MAX_QUESTIONS = 8;
+
+/** Tickets are not used in their last part, in milliseconds: a start takes a transaction and an order. */
+const EXPIRY_MARGIN_MS = 400;
+
+/** Added to the time that an answer should take, in milliseconds. */
+const ANSWER_SLACK_MS = 1_500;
+
+/** Pause before a refused question is asked again, in milliseconds. */
+const RETRY_MS = 300;
+
+interface Held {
+  readonly tickets: ReadonlyMap<string, string>;
+  readonly untilMs: number;
+}
+
+export interface AdviceBookOptions {
+  readonly clock: Clock;
+  readonly advice: PlacementAdvice | null;
+  readonly counters: Counters;
+  /** Called when an answer has arrived. */
+  readonly onAnswer: () => void;
+}
+
+export class AdviceBook {
+  private readonly held = new Map<string, Held>();
+  private readonly asked = new Set<string>();
+
+  constructor(private readonly options: AdviceBookOptions) {}
+
+  /** Tickets of a step that can still be used, by worker; asks for them if there are none. */
+  tickets(step: StepName, rule: AdviceRule, workerIds: readonly string[]): ReadonlyMap<string, string> {
+    const key = `${step.jobId}.${step.occurrence}.${step.step}`;
+    const known = this.held.get(key);
+    if (known !== undefined && this.options.clock.monotonicMs() < known.untilMs) return known.tickets;
+    this.held.delete(key);
+    void this.ask(key, step, rule, workerIds.slice(0, MAX_WORKERS));
+    return NO_TICKETS;
+  }
+
+  /** The ticket for a step on a worker; `null` if there is none. */
+  ticket({ jobId, occurrence, step }: StepName, workerId: string): string | null {
+    return this.held.get(`${jobId}.${occurrence}.${step}`)?.tickets.get(workerId) ?? null;
+  }
+
+  private async ask(
+    key: string,
+    step: StepName,
+    rule: AdviceRule,
+    workerIds: readonly string[],
+  ): Promise<void> {
+    const { advice, clock, counters, onAnswer } = this.options;
+    if (advice === null || workerIds.length === 0) return;
+    if (this.asked.has(key) || this.asked.size >= MAX_QUESTIONS) return;
+    this.asked.add(key);
+    const sentAtMs = clock.monotonicMs();
+    const expectedMs = rule.decideMs + rule.perWorkerMs * workerIds.length;
+    try {
+      const answer = await advice.ask(step, workerIds, expectedMs * MAX_QUESTIONS + ANSWER_SLACK_MS);
+      counters.increment('advice.answered');
+      // The validity counts from the answer, which left at the earliest when the question was decided.
+      const validMs = answer.validMs > 0 ? answer.validMs : rule.validMs;
+      this.held.set(key, {
+        tickets: answer.tickets,
+        untilMs: sentAtMs + expectedMs + validMs - EXPIRY_MARGIN_MS,
+      });
+    } catch (error) {
+      if (!(error instanceof AdviceUnavailableError)) throw error;
+      counters.increment('advice.unavailable');
+      await clock.delay(RETRY_MS);
+    } finally {
+      this.asked.delete(key);
+    }
+    onAnswer();
+  }
+}
+
+const NO_TICKETS: ReadonlyMap<string, string> = new Map();
--- /dev/null
+++ b/placement/instance_directory.ts
@@ -0,0 +1,101 @@
+/** The platform's list of instances, and the orders that it does not show yet. */
+import type { Clock } from '../kernel/clock';
+import {
+  InstanceOperationsError,
+  type InstanceOperations,
+  type InstanceStatus,
+} from '../scheduling/instance_operations';
+import type { Counters } from '../telemetry/counters';
+
+/** How often the list is read, in milliseconds; every reading is a priced call. */
+const READ_INTERVAL_MS = 1_000;
+
+/** After an order the list is read again this soon, in milliseconds. */
+const READ_SOON_MS = 250;
+
+/** An order that the list has not shown for this long has had no effect or is over, in milliseconds. */
+const ORDER_LIMIT_MS = 6_000;
+
+interface PendingOrder {
+  readonly poolId: string;
+  readonly sentAtMs: number;
+}
+
+export interface InstanceDirectoryOptions {
+  readonly clock: Clock;
+  readonly operations: InstanceOperations;
+  readonly counters: Counters;
+}
+
+/** Knows where each instance is or is going. */
+export class InstanceDirectory {
+  private instances: ReadonlyMap<string, InstanceStatus> = new Map();
+  private readAtMs = -Infinity;
+  private nextReadMs = 0;
+  private isReading = false;
+  private readonly pending = new Map<string, PendingOrder>();
+
+  constructor(private readonly options: InstanceDirectoryOptions) {}
+
+  isLoaded(): boolean {
+    return this.readAtMs > -Infinity;
+  }
+
+  all(): Iterable<InstanceStatus> {
+    return this.instances.values();
+  }
+
+  get(instanceId: string): InstanceStatus | undefined {
+    return this.instances.get(instanceId);
+  }
+
+  /** Whether an order for the instance was sent that the list may not show yet. */
+  isPending(instanceId: string): boolean {
+    return this.pending.has(instanceId);
+  }
+
+  /** The pool that an instance belongs to or moves to. */
+  poolOf({ instanceId, poolId }: InstanceStatus): string {
+    return this.pending.get(instanceId)?.poolId ?? poolId;
+  }
+
+  /** Notes an order; the instance counts as on its way until the list shows it up again. */
+  noteOrder(instanceId: string, poolId: string): void {
+    const nowMs = this.options.clock.monotonicMs();
+    this.pending.set(instanceId, { poolId, sentAtMs: nowMs });
+    this.nextReadMs = Math.min(this.nextReadMs, nowMs + READ_SOON_MS);
+  }
+
+  /** Forgets an order that was refused. */
+  dropOrder(instanceId: string): void {
+    this.pending.delete(instanceId);
+  }
+
+  /** Reads the list when its time has come. */
+  async refresh(): Promise<void> {
+    const nowMs = this.options.clock.monotonicMs();
+    if (this.isReading || nowMs < this.nextReadMs) return;
+    this.isReading = true;
+    this.nextReadMs = nowMs + READ_INTERVAL_MS;
+    try {
+      const list = await this.options.operations.list();
+      this.instances = new Map(list.map((instance) => [instance.instanceId, instance]));
+      this.readAtMs = nowMs;
+      this.settlePending(nowMs);
+    } catch (error) {
+      if (!(error instanceof InstanceOperationsError)) throw error;
+      this.options.counters.increment('instances.list_failed');
+    } finally {
+      this.isReading = false;
+    }
+  }
+
+  /** An order is over when a reading that began after it shows the instance up. */
+  private settlePending(readAtMs: number): void {
+    for (const [instanceId, { sentAtMs }] of this.pending) {
+      const isShownUp = this.instances.get(instanceId)?.state === 'up';
+      if (readAtMs > sentAtMs && (isShownUp || readAtMs - sentAtMs > ORDER_LIMIT_MS))
+        this.pending.delete(instanceId);
+    }
+  }
+}
--- /dev/null
+++ b/placement/instance_keeper.ts
@@ -0,0 +1,247 @@
+/** Carries out maintenance waves and keeps the pools at the size that their demand asks for. */
+import type { Clock } from '../kernel/clock';
+import type { FleetRules } from '../scheduling/fleet_rules';
+import {
+  InstanceOperationsError,
+  type InstanceOperations,
+  type InstanceStatus,
+  type OrderIssuer,
+  type OrderResult,
+} from '../scheduling/instance_operations';
+import { PLACEMENT_PARTITION } from '../scheduling/job_rows';
+import type { PlatformRows } from '../scheduling/platform_rows';
+import { planSizes, type PoolDemand, type SizedInstance } from '../scheduling/pool_sizing';
+import type { WaveOrder } from '../scheduling/wave_order';
+import { planWave, type WaveInstance } from '../scheduling/wave_plan';
+import type { RowStore } from '../store/row_store';
+import type { Counters } from '../telemetry/counters';
+import { LOG_EVENTS } from '../telemetry/events_catalogue';
+import type { Logger } from '../telemetry/logger';
+import { InstanceDirectory } from './instance_directory';
+import type { PlacementJournal } from './placement_journal';
+import type { PlacementState } from './placement_state';
+import type { PoolDemandTracker } from './pool_demand';
+import {
+  decodeWaveProgress,
+  encodeWaveProgress,
+  WAVE_TABLE,
+  waveAddress,
+  type WaveProgress,
+} from './wave_rows';
+import type { WorkerFleet } from './worker_fleet';
+import type { WorkerSession } from './worker_session';
+
+/** Time that one instance of a wave is expected to be away, in milliseconds: draining, maintenance and registration. */
+const WAVE_ROUND_MS = 5_000;
+
+/** An instance whose order went unanswered is not ordered again for this long, in milliseconds. */
+const REORDER_MS = 700;
+
+export interface InstanceKeeperOptions {
+  readonly clock: Clock;
+  readonly store: RowStore;
+  readonly rows: PlatformRows;
+  readonly operations: InstanceOperations;
+  readonly journal: PlacementJournal;
+  readonly state: PlacementState;
+  readonly fleet: WorkerFleet;
+  readonly issuer: OrderIssuer;
+  readonly waves: () => ReadonlyMap<number, WaveOrder>;
+  readonly demand: PoolDemandTracker;
+  readonly counters: Counters;
+  readonly logger: Logger;
+  /** Called when the platform refuses this holder's token. */
+  readonly onFenced: () => void;
+}
+
+export class InstanceKeeper {
+  private readonly directory: InstanceDirectory;
+  private readonly waveProgress = new Map<number, WaveProgress>();
+  private readonly closingForWave = new Set<string>();
+  private closingForMove: ReadonlySet<string> = new Set();
+  private readonly notBeforeMs = new Map<string, number>();
+  private readonly inWork = new Set<string>();
+
+  constructor(private readonly options: InstanceKeeperOptions) {
+    const { clock, operations, counters } = options;
+    this.directory = new InstanceDirectory({ clock, operations, counters });
+  }
+
+  /** Reads how far earlier holders have come. Throws as {@link RowStore.read}. */
+  async load(): Promise<void> {
+    const { rows } = await this.options.store.read({ table: WAVE_TABLE, partition: PLACEMENT_PARTITION });
+    for (const { key, value } of rows) this.waveProgress.set(Number(key), decodeWaveProgress(value));
+  }
+
+  /** Whether a worker's instance takes no further tasks because it is about to be moved or maintained. */
+  isClosing({ entry }: WorkerSession): boolean {
+    const { instanceId } = entry;
+    return (
+      this.closingForWave.has(instanceId) ||
+      this.closingForMove.has(instanceId) ||
+      this.inWork.has(instanceId) ||
+      this.directory.isPending(instanceId)
+    );
+  }
+
+  /** What the platform says of a worker's instance; `undefined` before the list has been read. */
+  instanceOf({ entry }: WorkerSession): InstanceStatus | undefined {
+    return this.directory.get(entry.instanceId);
+  }
+
+  /** Decides anew; called several times a second. */
+  tick(rules: FleetRules): void {
+    void this.directory.refresh();
+    if (!this.directory.isLoaded() || !this.options.journal.isValid()) return;
+    this.closingForWave.clear();
+    for (const wave of this.options.waves().values()) this.advanceWave(wave, rules);
+    this.resize(rules);
+  }
+
+  private advanceWave(wave: WaveOrder, rules: FleetRules): void {
+    const progress = this.progressOf(wave);
+    if (progress.isCompleted) return;
+    const begun = new Set(progress.begun);
+    const remaining = wave.instanceIds.filter((id) => !begun.has(id) && this.directory.get(id) !== undefined);
+    if (remaining.length === 0) {
+      this.saveWave(wave, { ...progress, isCompleted: true });
+      return;
+    }
+    const { maintain, close } = planWave({
+      remaining: remaining.map((id) => this.waveInstance(id, rules)),
+      downCount: wave.instanceIds.filter((id) => this.isDownForWave(id, begun)).length,
+      maxAtOnce: wave.maxAtOnce,
+      timeLeftMs: progress.orderedAtMs + wave.termMs - this.options.clock.wallMs(),
+      roundMs: WAVE_ROUND_MS,
+    });
+    for (const id of close) this.closingForWave.add(id);
+    for (const id of maintain) void this.maintain(id, wave);
+  }
+
+  private progressOf(wave: WaveOrder): WaveProgress {
+    const known = this.waveProgress.get(wave.waveNumber);
+    if (known !== undefined) return known;
+    const progress = { begun: [], isCompleted: false, orderedAtMs: this.options.clock.wallMs() };
+    this.saveWave(wave, progress);
+    return progress;
+  }
+
+  private saveWave({ waveNumber }: WaveOrder, progress: WaveProgress): void {
+    const isNews = this.waveProgress.get(waveNumber)?.isCompleted !== progress.isCompleted;
+    this.waveProgress.set(waveNumber, progress);
+    this.options.journal.stage({ ...waveAddress(waveNumber), value: encodeWaveProgress(progress) });
+    if (!isNews) return;
+    this.options.journal.stage(this.options.rows.encodeWaveStatus(waveNumber, progress.isCompleted));
+    if (progress.isCompleted) this.options.logger.info(LOG_EVENTS.waveCompleted, { waveNumber });
+  }
+
+  private waveInstance(instanceId: string, rules: FleetRules): WaveInstance {
+    const instance = this.directory.get(instanceId);
+    const isSpare = instance !== undefined && rules.pools.get(instance.poolId)?.spare === true;
+    const isBusy =
+      this.inWork.has(instanceId) || this.directory.isPending(instanceId) || this.mustWait(instanceId);
+    const runCount = this.runCount(instanceId);
+    const isClosing = this.closingForWave.has(instanceId) || this.closingForMove.has(instanceId);
+    return { instanceId, isUp: instance?.state === 'up' && !isBusy, isSpare, runCount, isClosing };
+  }
+
+  /** Whether an instance is away for the wave, or may be since its order has not been shown or answered. */
+  private isDownForWave(instanceId: string, begun: ReadonlySet<string>): boolean {
+    if (this.directory.get(instanceId)?.state === 'upkeep') return true;
+    return this.inWork.has(instanceId) || (begun.has(instanceId) && this.directory.isPending(instanceId));
+  }
+
+  private resize(rules: FleetRules): void {
+    const instances = [...this.directory.all()];
+    const pools = [...rules.pools.values()].map((pool): PoolDemand => {
+      const incoming = instances.filter(
+        (instance) => instance.poolId !== pool.poolId && this.directory.poolOf(instance) === pool.poolId,
+      ).length;
+      const wantedInstances = this.options.demand.wanted(pool.poolId);
+      return { poolId: pool.poolId, isSpare: pool.spare, incoming, wantedInstances };
+    });
+    const sized = instances
+      .filter((instance) => this.directory.poolOf(instance) === instance.poolId)
+      .map((instance) => this.sized(instance, rules));
+    const { moves, closing } = planSizes({ pools, instances: sized });
+    this.closingForMove = new Set(closing);
+    for (const { instanceId, toPoolId } of moves) void this.move(instanceId, toPoolId);
+  }
+
+  private sized(instance: InstanceStatus, rules: FleetRules): SizedInstance {
+    const { instanceId, poolId, workerId } = instance;
+    const isSpare = rules.pools.get(poolId)?.spare === true;
+    const isWaiting =
+      this.inWork.has(instanceId) || this.directory.isPending(instanceId) || this.mustWait(instanceId);
+    const isInWave = this.closingForWave.has(instanceId);
+    const isUsable = isSpare || this.options.fleet.get(workerId)?.isReachable() === true;
+    return {
+      instanceId,
+      poolId,
+      isMovable: instance.state === 'up' && !isWaiting && !isInWave && isUsable,
+      runCount: this.runCount(instanceId),
+      lastingCount: this.options.state
+        .runsOn(workerId)
+        .filter(({ record, task }) => record.step(task.step).isLongRunning).length,
+    };
+  }
+
+  private runCount(instanceId: string): number {
+    const workerId = this.directory.get(instanceId)?.workerId ?? '';
+    if (workerId === '') return 0;
+    const session = this.options.fleet.get(workerId);
+    return Math.max(this.options.state.runCountOn(workerId), session?.activeRuns().length ?? 0);
+  }
+
+  private mustWait(instanceId: string): boolean {
+    return this.options.clock.monotonicMs() < (this.notBeforeMs.get(instanceId) ?? 0);
+  }
+
+  private async maintain(instanceId: string, wave: WaveOrder): Promise<void> {
+    const poolId = this.directory.get(instanceId)?.poolId ?? '';
+    const result = await this.order(instanceId, poolId, () =>
+      this.options.operations.maintain(instanceId, wave.waveNumber, this.options.issuer),
+    );
+    this.options.counters.increment('instances.maintain', result ?? 'unanswered');
+    if (result !== 'accepted' && result !== 'not_in_wave') return;
+    const progress = this.waveProgress.get(wave.waveNumber);
+    if (progress === undefined || progress.begun.includes(instanceId)) return;
+    this.saveWave(wave, { ...progress, begun: [...progress.begun, instanceId] });
+  }
+
+  private async move(instanceId: string, poolId: string): Promise<void> {
+    const result = await this.order(instanceId, poolId, () =>
+      this.options.operations.move(instanceId, poolId, this.options.issuer),
+    );
+    this.options.counters.increment('instances.move', result ?? 'unanswered');
+    this.options.logger.info(LOG_EVENTS.instanceOrdered, { instanceId, poolId, result });
+  }
+
+  /** Sends an order unless one is under way. Returns `null` if there was no answer. */
+  private async order(
+    instanceId: string,
+    poolId: string,
+    send: () => Promise<OrderResult>,
+  ): Promise<OrderResult | null> {
+    const { clock, journal, onFenced } = this.options;
+    if (this.inWork.has(instanceId) || !journal.isValid()) return null;
+    this.inWork.add(instanceId);
+    this.directory.noteOrder(instanceId, poolId);
+    try {
+      const result = await send();
+      if (result === 'fenced') onFenced();
+      if (result !== 'accepted') {
+        this.directory.dropOrder(instanceId);
+        this.notBeforeMs.set(instanceId, clock.monotonicMs() + REORDER_MS);
+      }
+      return result;
+    } catch (error) {
+      if (!(error instanceof InstanceOperationsError)) throw error;
+      // The order may have been carried out: it stays noted until the list shows the instance.
+      this.notBeforeMs.set(instanceId, clock.monotonicMs() + REORDER_MS);
+      return null;
+    } finally {
+      this.inWork.delete(instanceId);
+    }
+  }
+}
--- a/placement/placement_holder.ts
+++ b/placement/placement_holder.ts
@@ -1,9 +1,7 @@
 /** Acts as the holder of the placement role: from its acquisition until it is lost or given back. */
 import type { Clock, Timer } from '../kernel/clock';
-import { subtractResources } from '../model/resources';
 import type { FleetRules } from '../scheduling/fleet_rules';
 import type { InstanceOperations } from '../scheduling/instance_operations';
-import { isLongRunning } from '../scheduling/job_definition';
 import { isEnded, type JobProgress } from '../scheduling/job_progress';
 import type { RunEnd, TaskRun } from '../scheduling/job_record';
 import {
@@ -17,8 +15,7 @@
 } from '../scheduling/job_rows';
 import { UnusableRowError, type PlatformRows } from '../scheduling/platform_rows';
 import type { PlacementAdvice } from '../scheduling/placement_advice';
-import { planPool, type Assignment, type PlanWorker } from '../scheduling/placement_planner';
-import { SlackOrder } from '../scheduling/queue_order';
+import type { WaveOrder } from '../scheduling/wave_order';
 import type { WorkerEntry } from '../scheduling/worker_entry';
 import type { Rejection, RunningTask, WorkerGateway } from '../scheduling/worker_gateway';
 import type { RowChange, RowStore } from '../store/row_store';
@@ -27,10 +24,17 @@
 import { LOG_EVENTS } from '../telemetry/events_catalogue';
 import type { Logger } from '../telemetry/logger';
 import type { OpenJob } from './job_book';
-import type { AcquiredLease, LeaseIdentity } from './lease_watch';
+import type { AcquiredLease } from './lease_watch';
 import { PlacementJournal } from './placement_journal';
 import { PlacementState } from './placement_state';
-import { buildPlanRequest, collectCandidates, type Candidate } from './plan_request';
+import { PlacementRounds } from './placement_rounds';
+import { PoolDemandTracker } from './pool_demand';
+import { isStuck, seenRuns } from './run_supervisor';
+import { WorkerHealth } from './worker_health';
+import { AdviceBook } from './advice_book';
+import { evacuate } from './evacuation';
+import { InstanceKeeper } from './instance_keeper';
+import { controlPace } from './pace_control';
 import { queueStatusAddress, encodeQueueStatus } from './queue_status';
 import { WorkerFleet } from './worker_fleet';
 import { SessionListener, type HeardEnd, type SessionRun, type WorkerSession } from './worker_session';
@@ -60,7 +64,8 @@
   readonly advice: PlacementAdvice | null;
   readonly rules: () => FleetRules | null;
   readonly lease: AcquiredLease;
-  readonly identity: LeaseIdentity;
+  /** Maintenance waves that the operator has ordered, by number. */
+  readonly waves: () => ReadonlyMap<number, WaveOrder>;
   readonly leaseMs: number;
   readonly maxWorkerLeaseMs: number;
   readonly counters: Counters;
@@ -77,7 +82,10 @@
   private readonly journal: PlacementJournal;
   private readonly state: PlacementState;
   private readonly fleet: WorkerFleet;
-  private readonly order = new SlackOrder();
+  private readonly health = new WorkerHealth();
+  private readonly demand: PoolDemandTracker;
+  private readonly keeper: InstanceKeeper;
+  private readonly rounds: PlacementRounds;
   private readonly jobFollower: TableFollower;
   private readonly workerFollower: TableFollower;
   /** Progress as read at the start, until the job's own row is read. */
@@ -114,6 +122,39 @@
         this.onGone(end);
       },
     });
+    this.demand = new PoolDemandTracker({ clock, state: this.state });
+    this.keeper = new InstanceKeeper({
+      ...options,
+      operations: options.instances,
+      journal: this.journal,
+      state: this.state,
+      fleet: this.fleet,
+      demand: this.demand,
+      issuer: { holder: lease.row.nodeName, fencingToken: lease.row.epoch },
+      onFenced: () => {
+        this.lose('an order for an instance was fenced');
+      },
+    });
+    this.rounds = new PlacementRounds({
+      ...options,
+      journal: this.journal,
+      state: this.state,
+      fleet: this.fleet,
+      health: this.health,
+      keeper: this.keeper,
+      demand: this.demand,
+      advice: new AdviceBook({
+        clock,
+        advice: options.advice,
+        counters,
+        onAnswer: () => {
+          this.schedulePlan();
+        },
+      }),
+      onDropped: (end) => {
+        this.onGone(end);
+      },
+    });
     this.jobFollower = new TableFollower({
       store,
       clock,
@@ -142,6 +183,7 @@
     const { store, clock } = this.options;
     const progress = await store.read({ table: PROGRESS_TABLE, partition: PLACEMENT_PARTITION });
     for (const { key, value } of progress.rows) this.inheritedProgress.set(key, decodeProgress(value));
+    await this.keeper.load();
     await this.jobFollower.load();
     await this.workerFollower.load();
     if (this.isOver()) return;
@@ -214,7 +256,13 @@
     this.onGone({ task, run, workerId: session.worker.workerId, kind: 'lost', checkpoint: '' });
   }
 
-  override onProgress(_session: WorkerSession, running: readonly RunningTask[]): void {
+  override onProgress(session: WorkerSession, running: readonly RunningTask[]): void {
+    if (this.isStopped) return;
+    const isPaced = this.journal.isValid() && controlPace(session, this.state);
+    const isStarting = seenRuns(session, this.state).some(
+      ([run, seen]) => run.record.step(run.task.step).isLongRunning && seen.percent < 100,
+    );
+    session.watchClosely(isPaced || isStarting);
     for (const { task, run, checkpoint } of running) {
       const record = this.state.book.get(task.jobId)?.record;
       if (record === undefined || checkpoint === '') continue;
@@ -263,6 +311,8 @@
     const job = this.state.book.add(accepted, progress, clock.monotonicMs() - ageMs);
     if (job === null) return;
     this.state.adopt(job);
+    const poolId = this.options.rules()?.queues.get(accepted.queueId)?.poolId;
+    if (poolId !== undefined && this.isLoaded) this.demand.noteArrival(job, poolId);
     if (progress === undefined) {
       logger.info(LOG_EVENTS.jobSeen, {
         jobId: accepted.jobId,
@@ -298,6 +348,9 @@
   private takeEnd(end: RunEnd, startedAtMs: number | null): void {
     const job = this.state.endRun(end);
     if (job === null) return;
+    if (end.kind === 'done' || end.kind === 'failed') {
+      this.health.note(end.workerId, end.task.jobId, end.kind === 'failed', this.options.clock.monotonicMs());
+    }
     if (end.kind === 'done' && startedAtMs !== null) {
       const { estimateMs } = job.record.step(end.task.step);
       const tookMs = this.options.clock.monotonicMs() - startedAtMs;
@@ -360,96 +413,63 @@
     });
     this.fleet.sweep();
     this.writeQueueStatus();
+    const rules = this.options.rules();
+    if (rules !== null && this.journal.isValid()) this.supervise(rules);
     this.plan();
   }
 
   private plan(): void {
     const rules = this.options.rules();
     if (rules === null || this.isStopped || !this.journal.isValid()) return;
-    const nowMs = this.options.clock.monotonicMs();
-    const byPool = collectCandidates({ state: this.state, rules, nowMs, unixMs: this.unixMs() });
-    for (const [poolId, candidates] of byPool) this.planOne(poolId, candidates, rules, nowMs);
+    this.rounds.plan(rules, this.unixMs());
   }
 
-  private planOne(poolId: string, candidates: readonly Candidate[], rules: FleetRules, nowMs: number): void {
-    const request = buildPlanRequest({
-      candidates,
-      workers: this.workersOf(poolId),
-      order: this.order,
-      state: this.state,
-      rules,
-      nowMs,
-      allowed: () => null,
-    });
-    const { assignments } = planPool(request);
-    if (assignments.length === 0) return;
-    const byStep = new Map(candidates.map((candidate) => [candidate.stepId, candidate]));
-    const runs = assignments.flatMap((assignment) => {
-      const candidate = byStep.get(assignment.stepId);
-      return candidate === undefined ? [] : [this.assign(candidate, assignment, assignments)];
-    });
-    this.journal.afterCommit(() => {
-      for (const [candidate, run] of runs) this.startRun(candidate, run);
-    });
+  /** Looks at what depends on time alone: waves, pool sizes, stuck runs, slow copies, pace. */
+  private supervise(rules: FleetRules): void {
+    const { clock } = this.options;
+    const nowMs = clock.monotonicMs();
+    this.demand.update(rules, this.instanceProcessors(), this.processorsInUse());
+    this.keeper.tick(rules);
+    const leaving: string[] = [];
+    for (const session of this.fleet.all()) {
+      const { workerId } = session.worker;
+      if (session.entry.state === 'draining' || this.keeper.isClosing(session)) leaving.push(workerId);
+      this.stopStuckRuns(session, nowMs);
+    }
+    evacuate(leaving, { state: this.state, fleet: this.fleet, nowMs });
+    this.rounds.copySlowRuns(rules);
   }
 
-  private workersOf(poolId: string): readonly PlanWorker[] {
-    const workers: PlanWorker[] = [];
-    for (const session of this.fleet.all()) {
-      const { entry, worker } = session;
-      if (entry.poolId !== poolId || !session.isUsable() || !this.fleet.isListed(worker.workerId)) continue;
-      workers.push({
-        workerId: worker.workerId,
-        rack: entry.rack,
-        labels: entry.labels,
-        capacity: entry.capacity,
-        free: subtractResources(entry.capacity, this.state.occupancy.onWorker(worker.workerId)),
-        tasksLeft: Infinity,
+  private stopStuckRuns(session: WorkerSession, nowMs: number): void {
+    const { workerId } = session.worker;
+    if (!session.isReachable()) return;
+    for (const [run, seen] of seenRuns(session, this.state)) {
+      if (!isStuck(run, seen, this.state, nowMs)) continue;
+      this.health.note(workerId, run.task.jobId, true, nowMs);
+      this.options.counters.increment('placement.stuck');
+      this.options.logger.info(LOG_EVENTS.runReplaced, {
+        ...run.task,
+        run: run.run,
+        workerId,
+        reason: 'no progress',
       });
+      session.stop(run.task, run.run);
     }
-    return workers;
   }
 
-  private assign(
-    { job, ready }: Candidate,
-    { index, workerId, stepId }: Assignment,
-    all: readonly Assignment[],
-  ): readonly [Candidate['job'], TaskRun] {
-    const { record } = job;
-    const { occurrence, step, definition } = ready;
-    const task = { jobId: record.job.jobId, occurrence, step, index };
-    const members = definition.isGang
-      ? all.filter((other) => other.stepId === stepId).map((other) => ({ ...task, index: other.index }))
-      : [task];
-    const previous = members.map((member) => record.task(member));
-    // Members that have already got this round's number must not raise it for the others.
-    const recorded = Math.max(0, ...previous.flatMap(({ runs }) => runs.map(({ run }) => run)));
-    const run = definition.isGang && recorded > 0 ? recorded : record.nextRun(members);
-    const bornMs = this.fleet.get(workerId)?.entry.bornMs ?? 0;
-    const taskRun = { task, run, workerId, bornMs };
-    this.state.addRun(record, taskRun);
-    return [job, taskRun];
-  }
-
-  /** Sends a start that is recorded, unless it has become pointless meanwhile. */
-  private startRun({ record }: OpenJob, run: TaskRun): void {
-    const session = this.fleet.get(run.workerId);
-    const isFitting = session?.entry.bornMs === run.bornMs && session.entry.state === 'ready';
-    if (session === undefined || !isFitting || !this.journal.isValid() || !this.state.isWanted(record, run)) {
-      this.onGone({ ...run, kind: 'lost', checkpoint: '' });
-      return;
+  private processorsInUse(): ReadonlyMap<string, number> {
+    const used = new Map<string, number>();
+    for (const { entry, worker } of this.fleet.all()) {
+      const { processors } = this.state.occupancy.onWorker(worker.workerId);
+      used.set(entry.poolId, (used.get(entry.poolId) ?? 0) + processors);
     }
-    this.options.counters.increment(
-      'placement.started',
-      isLongRunning(record.job.definition) ? 'lasting' : 'batch',
-    );
-    session.start({
-      task: run.task,
-      run: run.run,
-      spec: record.job.definition.spec,
-      checkpoint: record.checkpointOf(run.task),
-      ticket: null,
-    });
+    return used;
+  }
+
+  /** What one instance offers, on average. */
+  private instanceProcessors(): number {
+    const capacities = [...this.fleet.all()].map(({ entry }) => entry.capacity.processors);
+    return capacities.reduce((sum, processors) => sum + processors, 0) / Math.max(1, capacities.length);
   }
 
   /** Unix time by the workers' clocks, which do not follow jumps of this machine's time of day. */
--- a/placement/placement_plugin.ts
+++ b/placement/placement_plugin.ts
@@ -76,7 +76,7 @@
   /** Resolves once the role is lost. */
   private async hold(kernel: Kernel, lease: AcquiredLease): Promise<void> {
     const { roleLeaseMs, maxWorkerLeaseMs } = kernel.use(NODE_SETTINGS);
-    const { rules } = kernel.use(OPERATOR_ORDERS);
+    const { rules, waves } = kernel.use(OPERATOR_ORDERS);
     await new Promise<void>((resolve) => {
       const holder = new PlacementHolder({
         store: kernel.use(ROW_STORE),
@@ -86,10 +86,10 @@
         instances: kernel.use(INSTANCE_OPERATIONS),
         advice: kernel.use(PLACEMENT_ADVICE),
         rules,
+        waves,
         lease,
         leaseMs: roleLeaseMs,
         maxWorkerLeaseMs,
-        identity: lease.row,
         counters: kernel.use(COUNTERS),
         logger: kernel.use(LOGGER),
         onLost: resolve,
--- /dev/null
+++ b/placement/wave_rows.ts
@@ -0,0 +1,27 @@
+/** Rows that say which instances of a wave have begun their maintenance, so that a successor goes on from there. */
+import { z } from 'zod';
+import { PLACEMENT_PARTITION } from '../scheduling/job_rows';
+import type { RowAddress } from '../store/row_store';
+
+export const WAVE_TABLE = 'waves';
+
+const waveProgressSchema = z.object({
+  begun: z.array(z.string()).readonly(),
+  isCompleted: z.boolean(),
+  /** Unix time at which a holder first saw the order, in milliseconds. */
+  orderedAtMs: z.number(),
+});
+
+export type WaveProgress = Readonly<z.infer<typeof waveProgressSchema>>;
+
+export function waveAddress(waveNumber: number): RowAddress {
+  return { table: WAVE_TABLE, partition: PLACEMENT_PARTITION, key: String(waveNumber) };
+}
+
+export function encodeWaveProgress(progress: WaveProgress): string {
+  return JSON.stringify(progress);
+}
+
+export function decodeWaveProgress(value: string): WaveProgress {
+  return waveProgressSchema.parse(JSON.parse(value));
+}
--- /dev/null
+++ b/placement/worker_health.ts
@@ -0,0 +1,51 @@
+/** Learns from results which workers fail what they run, whatever they say of themselves. */
+
+/** Results count for this long, in milliseconds. */
+const MEMORY_MS = 6_000;
+
+/** Jobs whose tasks must have gone wrong on a worker before it is suspected; one job may be at fault itself. */
+const MIN_BAD_JOBS = 2;
+
+/** A worker is suspected once more than this part of its results is bad. */
+const MAX_BAD_SHARE = 0.5;
+
+interface Result {
+  readonly atMs: number;
+  readonly jobId: string;
+  readonly isBad: boolean;
+}
+
+/**
+ * Limits how many tasks a suspected worker gets: one at a time, so that it can
+ * show that it works again.
+ *
+ * @example
+ * ```ts
+ * health.note('w1', 'job1', true, nowMs);
+ * health.tasksLeft('w1', 0, nowMs);
+ * ```
+ */
+export class WorkerHealth {
+  private readonly results = new Map<string, readonly Result[]>();
+
+  note(workerId: string, jobId: string, isBad: boolean, nowMs: number): void {
+    this.results.set(workerId, [...this.recent(workerId, nowMs), { atMs: nowMs, jobId, isBad }]);
+  }
+
+  isSuspected(workerId: string, nowMs: number): boolean {
+    const recent = this.recent(workerId, nowMs);
+    const bad = recent.filter(({ isBad }) => isBad);
+    const badJobs = new Set(bad.map(({ jobId }) => jobId)).size;
+    return badJobs >= MIN_BAD_JOBS && bad.length > recent.length * MAX_BAD_SHARE;
+  }
+
+  /** Tasks that a worker may get beside those that it runs. */
+  tasksLeft(workerId: string, runCount: number, nowMs: number): number {
+    if (!this.isSuspected(workerId, nowMs)) return Infinity;
+    return runCount === 0 ? 1 : 0;
+  }
+
+  private recent(workerId: string, nowMs: number): readonly Result[] {
+    return (this.results.get(workerId) ?? []).filter(({ atMs }) => nowMs - atMs < MEMORY_MS);
+  }
+}
--- a/placement/worker_session.ts
+++ b/placement/worker_session.ts
@@ -17,8 +17,8 @@
 /** How long a lease call waits for an end, in milliseconds. */
 const LEASE_WAIT_MS = 1_500;
 
-/** Where the load of serving tasks has to be known, a lease call waits only this long, in milliseconds. */
-const CLOSE_WATCH_MS = 500;
+/** Where load or the start of lasting tasks has to be known soon, a lease call waits only this long, in milliseconds. */
+const CLOSE_WATCH_MS = 300;
 
 /** Longest wait for the record of an end before the next lease call, in milliseconds. */
 const RECORD_WAIT_MS = 600;
@@ -120,6 +120,7 @@
   private readonly strangers = new Set<string>();
   private wakeUp: (() => void) | null = null;
   private suspectUntilMs = 0;
+  private isWatchedClosely = false;
 
   constructor(private readonly options: WorkerSessionOptions) {
     const { entry, inherited, clock, maxLeaseMs } = options;
@@ -145,6 +146,11 @@
     return this.runs.get(runKey({ task, run }));
   }
 
+  /** Asks for progress and load several times a second. */
+  watchClosely(isWatched: boolean): void {
+    this.isWatchedClosely = isWatched;
+  }
+
   /** Whether new tasks may be sent here. */
   isUsable(): boolean {
     return (
@@ -384,8 +390,7 @@
     if (!this.isFenced || this.failures > 0 || this.runs.size === 0) return 0;
     const settling = [...this.runs.values()].some(({ phase }) => phase === 'unsure' || phase === 'inherited');
     if (settling) return 0;
-    const watched = [...this.runs.values()].some(({ load, pace }) => load !== null && pace !== 100);
-    return watched ? CLOSE_WATCH_MS : LEASE_WAIT_MS;
+    return this.isWatchedClosely ? CLOSE_WATCH_MS : LEASE_WAIT_MS;
   }
 
   private take(reply: LeaseReply, sentAtMs: number, acknowledgedEnd: number): boolean {
--- a/scheduling/placement_planner.ts
+++ b/scheduling/placement_planner.ts
@@ -214,6 +214,7 @@
   counts: ReadonlyMap<string, number>,
   demand: Resources,
 ): number {
+  if (definition.isFiller) return fillerCost(worker, counts);
   const left = dominantShare(subtractResources(worker.free, demand), worker.capacity);
   const remote = definition.dataRack !== null && definition.dataRack !== worker.rack ? REMOTE_COST : 0;
   const failed = avoid.has(worker.workerId) ? FAILED_BEFORE_COST : 0;
@@ -221,3 +222,8 @@
   const sibling = placed.size > 0 && definition.isLongRunning && placed.has(worker.workerId) ? 1 : 0;
   return left + remote + failed + together + sibling;
 }
+
+/** Fillers go where most processor time is left over, apart from each other. */
+function fillerCost({ workerId, free, capacity }: PlanWorker, counts: ReadonlyMap<string, number>): number {
+  return (counts.get(workerId) ?? 0) - dominantShare({ ...free, memoryBytes: 0 }, capacity);
+}
--- /dev/null
+++ b/scheduling/pool_sizing.ts
@@ -0,0 +1,98 @@
+/** Decides how many instances each pool should have, and which ones move. */
+
+/** An instance as the sizing sees it. */
+export interface SizedInstance {
+  readonly instanceId: string;
+  readonly poolId: string;
+  /** Whether it can be moved at once: up, in no maintenance, not already on its way. */
+  readonly isMovable: boolean;
+  /** Tasks that run on it; fewest first when instances are given up. */
+  readonly runCount: number;
+  /** Tasks among them that last. */
+  readonly lastingCount: number;
+}
+
+export interface PoolDemand {
+  readonly poolId: string;
+  readonly isSpare: boolean;
+  /** Instances that the pool should have. */
+  readonly wantedInstances: number;
+  /** Instances that are on their way to it. */
+  readonly incoming: number;
+}
+
+export interface SizingRequest {
+  readonly pools: readonly PoolDemand[];
+  readonly instances: readonly SizedInstance[];
+}
+
+export interface PlannedMove {
+  readonly instanceId: string;
+  readonly toPoolId: string;
+}
+
+export interface SizingPlan {
+  /** Instances that run nothing and can move now. */
+  readonly moves: readonly PlannedMove[];
+  /** Instances that take no further tasks, so that they become free to move. */
+  readonly closing: readonly string[];
+}
+
+/**
+ * Gives instances to pools that want more, from the spare pool first and then
+ * from pools that have more than they want, and returns the rest to the spare pool.
+ *
+ * @example
+ * ```ts
+ * const { moves, closing } = planSizes({ pools, instances });
+ * ```
+ */
+export function planSizes({ pools, instances }: SizingRequest): SizingPlan {
+  const spare = pools.find(({ isSpare }) => isSpare);
+  const surplus = pools.flatMap((pool) => surplusOf(pool, instances));
+  const free = surplus.filter(({ runCount }) => runCount === 0);
+  const busy = surplus.filter(({ runCount }) => runCount > 0);
+  const sources = [...free].sort(
+    (a, b) => Number(b.poolId === spare?.poolId) - Number(a.poolId === spare?.poolId),
+  );
+  const moves: PlannedMove[] = [];
+  for (const poolId of wantedBy(pools, instances)) {
+    const source = sources.findIndex((instance) => instance.poolId !== poolId);
+    const instance = sources[source];
+    if (instance === undefined) break;
+    sources.splice(source, 1);
+    moves.push({ instanceId: instance.instanceId, toPoolId: poolId });
+  }
+  if (spare !== undefined) {
+    for (const { instanceId, poolId } of sources) {
+      if (poolId !== spare.poolId) moves.push({ instanceId, toPoolId: spare.poolId });
+    }
+  }
+  return { moves, closing: busy.map(({ instanceId }) => instanceId) };
+}
+
+/** Instances that a pool can do without; all of the spare pool's. */
+function surplusOf(pool: PoolDemand, instances: readonly SizedInstance[]): readonly SizedInstance[] {
+  const own = instances.filter(({ poolId }) => poolId === pool.poolId);
+  if (pool.isSpare) return own.filter(({ isMovable }) => isMovable);
+  const count = own.length + pool.incoming - pool.wantedInstances;
+  if (count <= 0) return [];
+  return own
+    .filter(({ isMovable }) => isMovable)
+    .sort((a, b) => a.lastingCount - b.lastingCount || a.runCount - b.runCount)
+    .slice(0, count);
+}
+
+/** One entry for each instance that a pool lacks; the pools take turns, so that none waits for another to be full. */
+function wantedBy(pools: readonly PoolDemand[], instances: readonly SizedInstance[]): readonly string[] {
+  const lacking = new Map<string, number>();
+  for (const { poolId, isSpare, wantedInstances, incoming } of pools) {
+    const own = instances.filter((instance) => instance.poolId === poolId).length;
+    if (!isSpare) lacking.set(poolId, Math.max(0, wantedInstances - own - incoming));
+  }
+  const wanted: string[] = [];
+  for (let round = 1; [...lacking.values()].some((count) => count >= round); round += 1) {
+    for (const [poolId, count] of lacking) if (count >= round) wanted.push(poolId);
+  }
+  return wanted;
+}
--- /dev/null
+++ b/scheduling/wave_plan.ts
@@ -0,0 +1,59 @@
+/** Decides which instances of a maintenance wave are drained and which are maintained now. */
+
+/** An instance that still has to be maintained. */
+export interface WaveInstance {
+  readonly instanceId: string;
+  readonly isUp: boolean;
+  /** Whether its pool's instances are switched off anyway. */
+  readonly isSpare: boolean;
+  readonly runCount: number;
+  /** Whether it already takes no further tasks for this wave. */
+  readonly isClosing: boolean;
+}
+
+export interface WaveRequest {
+  readonly remaining: readonly WaveInstance[];
+  /** Instances of the wave that are down for maintenance, or may be. */
+  readonly downCount: number;
+  readonly maxAtOnce: number;
+  /** Time until the term ends, in milliseconds. */
+  readonly timeLeftMs: number;
+  /** Time that one instance is expected to be away, drain included, in milliseconds. */
+  readonly roundMs: number;
+}
+
+export interface WaveStep {
+  /** Run nothing: maintained now. */
+  readonly maintain: readonly string[];
+  /** Take no further tasks from now on. */
+  readonly close: readonly string[];
+}
+
+/** Busy instances are drained once less than this many times the least possible time is left. */
+const URGENCY = 2;
+
+/**
+ * Takes instances that run nothing at once, and drains busy ones only when the
+ * term asks for it.
+ *
+ * @example
+ * ```ts
+ * const { maintain, close } = planWave(request);
+ * ```
+ */
+export function planWave({ remaining, downCount, maxAtOnce, timeLeftMs, roundMs }: WaveRequest): WaveStep {
+  const up = remaining.filter(({ isUp }) => isUp);
+  const room = Math.max(0, maxAtOnce - downCount);
+  const idle = up
+    .filter(({ runCount }) => runCount === 0)
+    .sort((a, b) => Number(b.isClosing) - Number(a.isClosing) || Number(b.isSpare) - Number(a.isSpare));
+  const maintain = idle.slice(0, room).map(({ instanceId }) => instanceId);
+  const rounds = Math.ceil(remaining.length / Math.max(1, maxAtOnce));
+  if (timeLeftMs > rounds * roundMs * URGENCY) return { maintain, close: [] };
+  const closing = up.filter(({ isClosing, runCount }) => isClosing && runCount > 0).length;
+  const close = up
+    .filter(({ isClosing, runCount }) => !isClosing && runCount > 0)
+    .sort((a, b) => a.runCount - b.runCount)
+    .slice(0, Math.max(0, room - maintain.length - closing));
+  return { maintain, close: close.map(({ instanceId }) => instanceId) };
+}
