--- /dev/null
+++ b/placement/_placement_world.ts
@@ -0,0 +1,249 @@
+/** Several processes that stand for the placement role over one store and one set of workers, on a virtual clock. */
+import { VirtualClock } from '../kernel/virtual_clock';
+import { JobIntake } from '../callers/job_intake';
+import type { FleetRules, QueueRule } from '../scheduling/fleet_rules';
+import {
+  InstanceOperations,
+  type InstanceStatus,
+  type OrderIssuer,
+  type OrderResult,
+} from '../scheduling/instance_operations';
+import type { JobDefinition, StepDefinition } from '../scheduling/job_definition';
+import { PlatformRows, UnusableRowError, type OperatorRow } from '../scheduling/platform_rows';
+import type { WaveOrder } from '../scheduling/wave_order';
+import type { WorkerEntry } from '../scheduling/worker_entry';
+import { MemoryRows, MemoryRowStore } from '../store/memory_row_store';
+import { isStoreFailure, type RowWrite } from '../store/row_store';
+import { MemoryCounters } from '../telemetry/counters';
+import { Logger } from '../telemetry/logger';
+import { FAKE_LEASE_MS, FakeWorkers, type FakeWorker } from './_fake_workers';
+import { LeaseWatch } from './lease_watch';
+import { PlacementHolder } from './placement_holder';
+
+export const QUEUE: QueueRule = {
+  queueId: 'q',
+  host: 'h',
+  pathPrefix: '/q/',
+  poolId: 'p',
+  priority: 0,
+  maxAttempts: 2,
+  stretch: 2,
+  targetLatencyMs: 500,
+  openToAll: false,
+  advice: null,
+};
+
+export const STEP: StepDefinition = {
+  taskCount: 1,
+  demand: { processors: 1, memoryBytes: 1, accelerators: 0 },
+  estimateMs: 100,
+  after: [],
+  savesProgress: false,
+  isGang: false,
+  isRackSensitive: false,
+  requiredLabel: null,
+  dataRack: null,
+  maxPerWorker: null,
+  isSpeculative: false,
+  isLongRunning: false,
+  image: '',
+  targetMs: null,
+  isFiller: false,
+  maxUnavailable: null,
+};
+
+export function fakeEntry(workerId: string, fields: Partial<WorkerEntry> = {}): WorkerEntry {
+  return {
+    workerId,
+    poolId: 'p',
+    address: '10.0.0.1:80',
+    availabilityZone: 'z',
+    state: 'ready',
+    bornMs: 1,
+    capacity: { processors: 4, memoryBytes: 1_000, accelerators: 0 },
+    labels: ['a', 'r1'],
+    rack: 'r1',
+    remainingMs: null,
+    instanceId: `m-${workerId}`,
+    ...fields,
+  };
+}
+
+/** Workers' entries as JSON of the product's own type. */
+class PlainRows extends PlatformRows {
+  override readonly operatorTable = 'op';
+  override readonly workerTable = 'workers';
+  override readonly partition = '';
+
+  override decodeOperatorRow(): OperatorRow {
+    return { kind: 'unknown' };
+  }
+
+  override decodeWorkerEntry(_workerId: string, value: string): WorkerEntry {
+    if (value === 'garbage') throw new UnusableRowError('The entry is garbage.');
+    return JSON.parse(value) as WorkerEntry;
+  }
+
+  override encodeWaveStatus(waveNumber: number, isCompleted: boolean): RowWrite {
+    return { table: 'status', partition: '', key: `wave/${waveNumber}`, value: String(isCompleted) };
+  }
+}
+
+/** Instances that answer every order at once; maintenance keeps them away for some seconds. */
+export class FakeInstances extends InstanceOperations {
+  readonly orders: string[] = [];
+  readonly issuers: OrderIssuer[] = [];
+  readonly instances = new Map<string, InstanceStatus>();
+
+  override list(): Promise<readonly InstanceStatus[]> {
+    return Promise.resolve([...this.instances.values()]);
+  }
+
+  override move(instanceId: string, poolId: string, issuer: OrderIssuer): Promise<OrderResult> {
+    this.orders.push(`move ${instanceId} ${poolId}`);
+    this.issuers.push(issuer);
+    return Promise.resolve('accepted');
+  }
+
+  override maintain(instanceId: string, waveNumber: number, issuer: OrderIssuer): Promise<OrderResult> {
+    this.orders.push(`maintain ${instanceId} ${waveNumber}`);
+    this.issuers.push(issuer);
+    return Promise.resolve('accepted');
+  }
+}
+
+const ROLE_LEASE_MS = 3_000;
+
+export class PlacementWorld {
+  readonly clock = new VirtualClock();
+  readonly rows = new MemoryRows();
+  readonly gateway = new FakeWorkers(this.clock);
+  readonly instances = new FakeInstances();
+  readonly waves = new Map<number, WaveOrder>();
+  rules: FleetRules = {
+    version: 1,
+    queues: new Map([['q', QUEUE]]),
+    pools: new Map([['p', { poolId: 'p', spare: false }]]),
+    teams: new Map([
+      ['t', { teamId: 't', shareWeight: 1, upperLimit: { processors: 0, memoryBytes: 0, accelerators: 0 } }],
+    ]),
+    teamByKey: new Map(),
+    maxBodyBytes: 1_000,
+  };
+
+  private readonly operator = new MemoryRowStore(this.rows, this.clock);
+  private readonly intake = new JobIntake({ store: this.operator, clock: this.clock });
+
+  async addWorker(workerId: string, fields: Partial<WorkerEntry> = {}): Promise<FakeWorker> {
+    const entry = fakeEntry(workerId, fields);
+    const worker = this.gateway.add(entry);
+    await this.register(entry);
+    return worker;
+  }
+
+  async register(entry: WorkerEntry): Promise<void> {
+    await this.writeEntry(entry.workerId, JSON.stringify(entry));
+  }
+
+  async writeEntry(workerId: string, value: string | null): Promise<void> {
+    await this.operator.transact({
+      conditions: [],
+      writes: [{ table: 'workers', partition: '', key: workerId, value }],
+    });
+  }
+
+  async submit(
+    jobId: string,
+    steps: readonly StepDefinition[],
+    fields: Partial<JobDefinition> = {},
+  ): Promise<void> {
+    const definition = { spec: 's', steps, repeat: null, ...fields };
+    await this.intake.submit({ jobId, queueId: 'q', teamId: 't', definition, untilMs: Infinity });
+  }
+
+  async cancel(jobId: string): Promise<void> {
+    await this.intake.cancel(jobId);
+  }
+
+  /** Through an intake of its own, which remembers nothing. */
+  async state(jobId: string): Promise<string | null> {
+    return new JobIntake({ store: this.operator, clock: this.clock }).state(jobId);
+  }
+
+  process(name: string): WorldProcess {
+    return new WorldProcess(this, name);
+  }
+
+  /** Lets time pass in small steps, so that promises settle between timers. */
+  async advance(ms: number): Promise<void> {
+    await this.clock.advanceAsync(ms);
+  }
+
+  /** Every start on any worker. */
+  starts(): readonly string[] {
+    return this.gateway.all().flatMap(({ starts }) => starts);
+  }
+
+  runningCount(): number {
+    return this.gateway.all().reduce((sum, { runs }) => sum + runs.size, 0);
+  }
+}
+
+export class WorldProcess {
+  readonly store: MemoryRowStore;
+  readonly counters = new MemoryCounters();
+  holder: PlacementHolder | null = null;
+  lost = 0;
+  private readonly watch: LeaseWatch;
+
+  constructor(
+    private readonly world: PlacementWorld,
+    name: string,
+  ) {
+    this.store = new MemoryRowStore(world.rows, world.clock);
+    this.watch = new LeaseWatch({
+      store: this.store,
+      clock: world.clock,
+      identity: { nodeName: name, processId: `${name}-process` },
+      leaseMs: ROLE_LEASE_MS,
+    });
+  }
+
+  /** Stands for the role and acts as its holder once. */
+  async run(): Promise<void> {
+    const lease = await this.watch.acquire();
+    if (lease === null) return;
+    const { world } = this;
+    this.holder = new PlacementHolder({
+      store: this.store,
+      clock: world.clock,
+      rows: new PlainRows(),
+      gateway: world.gateway,
+      instances: world.instances,
+      advice: null,
+      rules: () => world.rules,
+      waves: () => world.waves,
+      lease,
+      leaseMs: ROLE_LEASE_MS,
+      maxWorkerLeaseMs: FAKE_LEASE_MS,
+      counters: this.counters,
+      logger: Logger.create({ level: 'silent' }),
+      onLost: () => {
+        this.lost += 1;
+      },
+    });
+    try {
+      await this.holder.start();
+    } catch (error) {
+      if (!isStoreFailure(error)) throw error;
+      this.holder.stop();
+    }
+  }
+
+  /** Ends without a word, as by SIGKILL. */
+  kill(): void {
+    this.watch.stop();
+    this.store.faults = { ...this.store.faults, down: true };
+    this.holder?.stop();
+  }
+}
--- a/placement/placement_rounds.ts
+++ b/placement/placement_rounds.ts
@@ -165,7 +165,7 @@
     const { fleet, journal, state, counters, advice } = this.options;
     const session = fleet.get(run.workerId);
     const isFitting = session?.entry.bornMs === run.bornMs && session.entry.state === 'ready';
-    if (session === undefined || !isFitting || !journal.isValid() || !state.isWanted(record, run)) {
+    if (!isFitting || !journal.isValid() || !state.isWanted(record, run)) {
       this.options.onDropped({ ...run, kind: 'lost', checkpoint: '' });
       return;
     }
@@ -184,7 +184,7 @@
     const { record, task } = run;
     const job = this.options.state.book.get(task.jobId);
     const queue = rules.queues.get(record.job.queueId);
-    if (job === undefined || queue === undefined || queue.advice !== null) return;
+    if (job === undefined || queue?.advice !== null) return;
     const step = record.step(task.step);
     const demand = occupiedBy(step);
     const target = this.workersOf(queue.poolId).find(
--- a/placement/run_estimates.ts
+++ b/placement/run_estimates.ts
@@ -1,26 +1,34 @@
 /** Learns how long tasks really run, since callers' estimates may be far off. */
 import type { JobDefinition } from '../scheduling/job_definition';
 
-/** Weight of the latest observation. */
-const LEARNING_RATE = 0.1;
+/** What each new observation leaves of the earlier ones; about 50 runs count. */
+const DECAY = 0.98;
 
-/** Observed ratios outside this range are clipped, so that one hung task does not spoil the estimate. */
-const MAX_RATIO = 5;
+interface Totals {
+  readonly estimateMs: number;
+  readonly actualMs: number;
+}
 
-/** Ratio of real to estimated run time, by queue. */
+/**
+ * Ratio of real to estimated run time, by queue. The ratio of the sums does
+ * not favour runs whose estimates were far too low, as a mean of ratios would.
+ */
 export class RunEstimates {
-  private readonly ratios = new Map<string, number>();
+  private readonly totals = new Map<string, Totals>();
 
   observe(queueId: string, estimateMs: number, actualMs: number): void {
     if (estimateMs <= 0) return;
-    const ratio = Math.min(MAX_RATIO, Math.max(1 / MAX_RATIO, actualMs / estimateMs));
-    const known = this.ratios.get(queueId);
-    this.ratios.set(queueId, known === undefined ? ratio : known + LEARNING_RATE * (ratio - known));
+    const known = this.totals.get(queueId) ?? { estimateMs: 0, actualMs: 0 };
+    this.totals.set(queueId, {
+      estimateMs: known.estimateMs * DECAY + estimateMs,
+      actualMs: known.actualMs * DECAY + actualMs,
+    });
   }
 
   /** Expected run time of a task, in milliseconds. */
   expectedMs(queueId: string, estimateMs: number): number {
-    return estimateMs * (this.ratios.get(queueId) ?? 1);
+    const known = this.totals.get(queueId);
+    return known === undefined ? estimateMs : estimateMs * (known.actualMs / known.estimateMs);
   }
 }
 
--- a/placement/worker_session.ts
+++ b/placement/worker_session.ts
@@ -20,6 +20,9 @@
 /** Where load or the start of lasting tasks has to be known soon, a lease call waits only this long, in milliseconds. */
 const CLOSE_WATCH_MS = 300;
 
+/** While it is open whether a run exists, a lease call waits only this long, in milliseconds. */
+const SETTLE_WAIT_MS = 40;
+
 /** Longest wait for the record of an end before the next lease call, in milliseconds. */
 const RECORD_WAIT_MS = 600;
 
@@ -388,8 +391,7 @@
 
   private waitMs(): number {
     if (!this.isFenced || this.failures > 0 || this.runs.size === 0) return 0;
-    const settling = [...this.runs.values()].some(({ phase }) => phase === 'unsure' || phase === 'inherited');
-    if (settling) return 0;
+    if ([...this.runs.values()].some(isSettling)) return SETTLE_WAIT_MS;
     return this.isWatchedClosely ? CLOSE_WATCH_MS : LEASE_WAIT_MS;
   }
 
@@ -495,3 +497,8 @@
     }
   }
 }
+
+/** Whether the next answer shows if the run exists. */
+function isSettling({ phase, isStopAnswered }: SessionRun): boolean {
+  return phase === 'unsure' || phase === 'inherited' || isStopAnswered;
+}
--- a/scheduling/placement_planner.ts
+++ b/scheduling/placement_planner.ts
@@ -106,16 +106,16 @@
 
   /** Places what fits; all tasks or none for a gang. A rack-sensitive step goes to one rack if it can. */
   private placeTogether(step: PlanStep, wanted: readonly number[]): readonly Placed[] {
-    const racks = step.definition.isRackSensitive ? this.racksByRoom(step) : [null];
-    let best: readonly Placed[] = [];
-    for (const rack of [...racks, ...(racks[0] === null ? [] : [null])]) {
+    const { isRackSensitive, isGang } = step.definition;
+    for (const rack of isRackSensitive ? this.racksByRoom(step) : []) {
       const placed = this.tryRack(step, wanted, rack);
       if (placed.length === wanted.length) return placed;
       this.undo(step, placed);
-      if (placed.length > best.length) best = placed;
     }
-    if (step.definition.isGang || best.length === 0) return [];
-    return this.tryRack(step, wanted, null);
+    const placed = this.tryRack(step, wanted, null);
+    if (!isGang || placed.length === wanted.length) return placed;
+    this.undo(step, placed);
+    return [];
   }
 
   private tryRack(step: PlanStep, wanted: readonly number[], rack: string | null): readonly Placed[] {
@@ -133,6 +133,7 @@
 
   private undo(step: PlanStep, placed: readonly Placed[]): void {
     for (const { workerId } of placed) this.occupy(step, workerId, -1);
+    this.misfits.length = 0;
   }
 
   private choose(step: PlanStep, counts: ReadonlyMap<string, number>, rack: string | null): string | null {
