Keep waves off instances that a burst needs, and retire workers that are gone

Starts went to workers whose instance had been moved or had crashed, each costing a connect timeout. Demand was seen 1.5 s late.

Change: instances that their pool wants are left to the last part of the term; workers whose instance the platform shows as down, and those that an accepted order has ended, are retired; an unreached worker gets no tasks until it answers; the arriving rate uses a short window as well; the state of the pools is logged each second.

--- a/callers/job_api.ts
+++ b/callers/job_api.ts
@@ -141,7 +141,11 @@
     const { method, path } = context.req;
     this.options.logger.info(LOG_EVENTS.jobRefused, { method, path, status, reason, detail });
     const headers = new Headers({ 'content-type': 'application/json' });
-    if (status === 503) headers.set('retry-after', RETRY_AFTER_S);
+    if (status === 503) {
+      headers.set('retry-after', RETRY_AFTER_S);
+      // A new connection may go to a process that reaches the store.
+      headers.set('connection', 'close');
+    }
     return new Response(JSON.stringify({ error: reason, detail }), { status, headers });
   }
 }
--- a/placement/demand_meter.ts
+++ b/placement/demand_meter.ts
@@ -1,7 +1,11 @@
 /** Measures what each pool needs, from what runs and waits and from the rate at which work arrives. */
 
-/** Arrivals of this time make up the rate, in milliseconds: shorter than the start of a burst, longer than its gaps. */
-const RATE_WINDOW_MS = 1_500;
+/**
+ * The rate is the higher one of these times, in milliseconds. The short one
+ * shows the start of a burst before instances could arrive, the long one
+ * covers the gaps in it.
+ */
+const RATE_WINDOWS_MS: readonly number[] = [600, 1_500];
 
 interface Arrival {
   readonly atMs: number;
@@ -19,7 +23,12 @@
 
   /** Processors that would keep up with the work that arrives now. */
   arrivingProcessors(nowMs: number): number {
-    this.arrivals = this.arrivals.filter(({ atMs }) => nowMs - atMs < RATE_WINDOW_MS);
-    return this.arrivals.reduce((sum, { work }) => sum + work, 0) / RATE_WINDOW_MS;
+    this.arrivals = this.arrivals.filter(({ atMs }) => nowMs - atMs < Math.max(...RATE_WINDOWS_MS));
+    return Math.max(...RATE_WINDOWS_MS.map((windowMs) => this.rateOver(windowMs, nowMs)));
+  }
+
+  private rateOver(windowMs: number, nowMs: number): number {
+    const recent = this.arrivals.filter(({ atMs }) => nowMs - atMs < windowMs);
+    return recent.reduce((sum, { work }) => sum + work, 0) / windowMs;
   }
 }
--- a/placement/instance_directory.ts
+++ b/placement/instance_directory.ts
@@ -37,6 +37,21 @@
 
   constructor(private readonly options: InstanceDirectoryOptions) {}
 
+  /** Asks for a reading soon. */
+  readSoon(): void {
+    this.nextReadMs = Math.min(this.nextReadMs, this.readAtMs + READ_SOON_MS);
+  }
+
+  /**
+   * Whether a reading that began after `sinceMs` shows that a worker's life on
+   * its instance is over. A worker that is merely cut off is shown as up.
+   */
+  isWorkerGone(instanceId: string, workerId: string, sinceMs: number): boolean {
+    const instance = this.instances.get(instanceId);
+    if (instance === undefined || this.readAtMs <= sinceMs) return false;
+    return instance.state === 'down' || (instance.workerId !== '' && instance.workerId !== workerId);
+  }
+
   isLoaded(): boolean {
     return this.readAtMs > -Infinity;
   }
--- a/placement/instance_keeper.ts
+++ b/placement/instance_keeper.ts
@@ -84,20 +84,29 @@
     );
   }
 
-  /** What the platform says of a worker's instance; `undefined` before the list has been read. */
-  instanceOf({ entry }: WorkerSession): InstanceStatus | undefined {
-    return this.directory.get(entry.instanceId);
-  }
-
   /** Decides anew; called several times a second. */
   tick(rules: FleetRules): void {
     void this.directory.refresh();
     if (!this.directory.isLoaded() || !this.options.journal.isValid()) return;
+    this.retireGoneWorkers();
     this.closingForWave.clear();
     for (const wave of this.options.waves().values()) this.advanceWave(wave, rules);
     this.resize(rules);
   }
 
+  /** Ends sessions with workers that do not answer and whose instance has crashed or runs another worker. */
+  private retireGoneWorkers(): void {
+    for (const session of [...this.options.fleet.all()]) {
+      const sinceMs = session.outOfContactSinceMs();
+      if (sinceMs === null) continue;
+      this.directory.readSoon();
+      const { instanceId, workerId } = session.entry;
+      if (!this.directory.isWorkerGone(instanceId, workerId, sinceMs)) continue;
+      this.options.counters.increment('workers.gone');
+      this.options.fleet.retire(session);
+    }
+  }
+
   private advanceWave(wave: WaveOrder, rules: FleetRules): void {
     const progress = this.progressOf(wave);
     if (progress.isCompleted) return;
@@ -137,12 +146,24 @@
 
   private waveInstance(instanceId: string, rules: FleetRules): WaveInstance {
     const instance = this.directory.get(instanceId);
-    const isSpare = instance !== undefined && rules.pools.get(instance.poolId)?.spare === true;
+    const isDispensable = instance !== undefined && this.isDispensable(instance, rules);
     const isBusy =
       this.inWork.has(instanceId) || this.directory.isPending(instanceId) || this.mustWait(instanceId);
     const runCount = this.runCount(instanceId);
     const isClosing = this.closingForWave.has(instanceId) || this.closingForMove.has(instanceId);
-    return { instanceId, isUp: instance?.state === 'up' && !isBusy, isSpare, runCount, isClosing };
+    return { instanceId, isUp: instance?.state === 'up' && !isBusy, isDispensable, runCount, isClosing };
+  }
+
+  /** Whether a pool has its wanted number of instances without this one. */
+  private isDispensable({ poolId }: InstanceStatus, rules: FleetRules): boolean {
+    if (rules.pools.get(poolId)?.spare === true) return true;
+    let others = -1;
+    for (const other of this.directory.all()) {
+      const isThere =
+        other.poolId === poolId && other.state === 'up' && this.directory.poolOf(other) === poolId;
+      if (isThere && !this.inWork.has(other.instanceId)) others += 1;
+    }
+    return others >= this.options.demand.wanted(poolId);
   }
 
   /** Whether an instance is away for the wave, or may be since its order has not been shown or answered. */
@@ -230,6 +251,7 @@
     try {
       const result = await send();
       if (result === 'fenced') onFenced();
+      if (result === 'accepted') this.retireWorkerOf(instanceId);
       if (result !== 'accepted') {
         this.directory.dropOrder(instanceId);
         this.notBeforeMs.set(instanceId, clock.monotonicMs() + REORDER_MS);
@@ -244,4 +266,11 @@
       this.inWork.delete(instanceId);
     }
   }
+
+  /** The platform has ended the worker of this instance; its entry stays listed for some seconds. */
+  private retireWorkerOf(instanceId: string): void {
+    for (const session of [...this.options.fleet.all()]) {
+      if (session.entry.instanceId === instanceId) this.options.fleet.retire(session);
+    }
+  }
 }
--- a/placement/placement_holder.ts
+++ b/placement/placement_holder.ts
@@ -55,6 +55,9 @@
 /** How often the counts of pending jobs are written, in milliseconds; they may be 2 s old. */
 const QUEUE_STATUS_INTERVAL_MS = 750;
 
+/** How often the state of the pools is logged, in milliseconds. */
+const SUMMARY_INTERVAL_MS = 1_000;
+
 export interface PlacementHolderOptions {
   readonly store: RowStore;
   readonly clock: Clock;
@@ -92,6 +95,7 @@
   private readonly inheritedProgress = new Map<string, JobProgress>();
   private readonly writtenPending = new Map<string, number>();
   private queueStatusAtMs = 0;
+  private summaryAtMs = 0;
   private planTimer: Timer | null = null;
   private tickTimer: Timer | null = null;
   private isStopped = false;
@@ -413,6 +417,7 @@
     });
     this.fleet.sweep();
     this.writeQueueStatus();
+    this.logSummary();
     const rules = this.options.rules();
     if (rules !== null && this.journal.isValid()) this.supervise(rules);
     this.plan();
@@ -483,6 +488,29 @@
     return readings[Math.floor(readings.length / 2)] ?? this.options.clock.wallMs();
   }
 
+  private logSummary(): void {
+    const nowMs = this.options.clock.monotonicMs();
+    const rules = this.options.rules();
+    if (rules === null || nowMs - this.summaryAtMs < SUMMARY_INTERVAL_MS) return;
+    this.summaryAtMs = nowMs;
+    const used = this.processorsInUse();
+    const pools = [...rules.pools.values()]
+      .filter(({ spare }) => !spare)
+      .map(({ poolId }) => ({
+        poolId,
+        usable: [...this.fleet.all()].filter(({ entry }) => entry.poolId === poolId).length,
+        wanted: this.demand.wanted(poolId),
+        used: Math.round(used.get(poolId) ?? 0),
+        waiting: Math.round(this.demand.waitingProcessors(poolId)),
+      }));
+    const teams = [...rules.teams.values()].map(({ teamId, upperLimit }) => [
+      teamId,
+      Math.round(this.state.occupancy.ofTeam(teamId).processors),
+      Math.round(upperLimit.processors),
+    ]);
+    this.options.logger.info(LOG_EVENTS.poolSummary, { pools, teams });
+  }
+
   private writeQueueStatus(): void {
     const nowMs = this.options.clock.monotonicMs();
     if (nowMs - this.queueStatusAtMs < QUEUE_STATUS_INTERVAL_MS) return;
--- a/placement/pool_demand.ts
+++ b/placement/pool_demand.ts
@@ -58,6 +58,11 @@
     }
   }
 
+  /** Processors that waiting steps of a pool ask for, without those that are hopelessly late. */
+  waitingProcessors(poolId: string): number {
+    return this.waiting.get(poolId) ?? 0;
+  }
+
   /** Decides the sizes anew. `processorsOf` says what one instance of the pool offers, `used` what runs on the pool. */
   update(rules: FleetRules, instanceProcessors: number, used: ReadonlyMap<string, number>): void {
     const nowMs = this.options.clock.monotonicMs();
--- a/placement/worker_fleet.ts
+++ b/placement/worker_fleet.ts
@@ -6,6 +6,13 @@
 import { WorkerLease } from './worker_lease';
 import { SessionListener, WorkerSession } from './worker_session';
 
+/**
+ * The entry of a worker that has ended is ignored for this long, in
+ * milliseconds. Entries stay for three heartbeats of 1.5 s; one that is written
+ * after that belongs to a worker that is alive.
+ */
+const RETIRED_MS = 6_000;
+
 export interface WorkerFleetOptions {
   readonly clock: Clock;
   readonly gateway: WorkerGateway;
@@ -23,6 +30,8 @@
   private readonly sessions = new Map<string, WorkerSession>();
   /** Workers whose entry is missing while their session settles what runs there. */
   private readonly unlisted = new Set<string>();
+  /** Incarnations that have ended although their entry may still be listed, by worker. */
+  private readonly retired = new Map<string, { readonly bornMs: number; readonly untilMs: number }>();
 
   constructor(private readonly options: WorkerFleetOptions) {}
 
@@ -45,6 +54,7 @@
       if (session !== undefined) this.unlisted.add(workerId);
       return;
     }
+    if (this.isRetired(entry)) return;
     this.unlisted.delete(workerId);
     if (session === undefined) this.open(entry);
     else if (session.entry.bornMs === entry.bornMs && session.worker.address === entry.address)
@@ -61,6 +71,21 @@
     this.loseRuns(this.options.recordedRuns(workerId));
   }
 
+  /** Ends a session whose incarnation has surely ended, and ignores its entry from now on. */
+  retire(session: WorkerSession): void {
+    const untilMs = this.options.clock.monotonicMs() + RETIRED_MS;
+    this.retired.set(session.worker.workerId, { bornMs: session.entry.bornMs, untilMs });
+    this.drop(session);
+  }
+
+  private isRetired({ workerId, bornMs }: WorkerEntry): boolean {
+    const retired = this.retired.get(workerId);
+    if (retired === undefined) return false;
+    if (retired.bornMs === bornMs && this.options.clock.monotonicMs() < retired.untilMs) return true;
+    this.retired.delete(workerId);
+    return false;
+  }
+
   /** Closes sessions with workers that are no longer registered and run nothing. */
   sweep(): void {
     for (const workerId of this.unlisted) {
--- a/placement/worker_session.ts
+++ b/placement/worker_session.ts
@@ -122,7 +122,7 @@
   /** Runs here that no record names; they occupy room that the holder does not count. */
   private readonly strangers = new Set<string>();
   private wakeUp: (() => void) | null = null;
-  private suspectUntilMs = 0;
+  private failingSinceMs: number | null = null;
   private isWatchedClosely = false;
 
   constructor(private readonly options: WorkerSessionOptions) {
@@ -161,8 +161,7 @@
       !this.isClosed &&
       this.failures === 0 &&
       this.current.state === 'ready' &&
-      this.strangers.size === 0 &&
-      this.options.clock.monotonicMs() >= this.suspectUntilMs
+      this.strangers.size === 0
     );
   }
 
@@ -170,6 +169,11 @@
     return this.isFenced && this.failures === 0;
   }
 
+  /** Since when no call has been answered; `null` while the worker answers. */
+  outOfContactSinceMs(): number | null {
+    return this.failingSinceMs;
+  }
+
   /** Unix time by the worker's clocks; `null` before it has answered. Independent of this machine's time of day. */
   unixMs(): number | null {
     const clockMs = this.lease.workerClockMs(this.options.clock.monotonicMs());
@@ -313,15 +317,14 @@
   }
 
   private markUnsure(run: SessionRun): void {
-    this.suspectUntilMs = this.nowMs() + LEASE_WAIT_MS;
     const current = this.runs.get(runKey(run));
     if (current?.phase === 'starting') this.change(run, { phase: 'unsure', sinceMs: this.nowMs() });
-    this.wake();
+    this.noteFailure();
   }
 
   private reject(run: SessionRun, reason: Rejection | 'not_reached'): void {
-    if (reason === 'not_reached' || reason === 'unhealthy')
-      this.suspectUntilMs = this.nowMs() + LEASE_WAIT_MS;
+    // No further tasks are sent until a lease call has been answered.
+    if (reason === 'not_reached' || reason === 'unhealthy') this.noteFailure();
     if (!this.remove(runKey(run))) return;
     this.options.listener.onRejected(this, run, reason);
     if (reason === 'other_incarnation') this.options.listener.onReplaced(this);
@@ -383,12 +386,18 @@
     } catch (error) {
       if (!(error instanceof WorkerNotReachedError || error instanceof WorkerOutcomeUnknownError))
         throw error;
-      this.failures += 1;
+      this.noteFailure();
       this.dropLapsed();
       return false;
     }
   }
 
+  private noteFailure(): void {
+    this.failures += 1;
+    this.failingSinceMs ??= this.nowMs();
+    this.wake();
+  }
+
   private waitMs(): number {
     if (!this.isFenced || this.failures > 0 || this.runs.size === 0) return 0;
     if ([...this.runs.values()].some(isSettling)) return SETTLE_WAIT_MS;
@@ -406,12 +415,13 @@
       return false;
     }
     if (reply.rejection !== null) {
-      this.failures += 1;
+      this.noteFailure();
       this.dropLapsed();
       return false;
     }
     if (reply.clockMs !== null) this.lease.heard(reply.clockMs, this.nowMs());
     this.failures = 0;
+    this.failingSinceMs = null;
     this.acknowledgedEnd = Math.max(this.acknowledgedEnd, acknowledgedEnd);
     this.hearRunning(reply.running);
     this.hearEnds(reply.ended);
--- a/scheduling/wave_plan.ts
+++ b/scheduling/wave_plan.ts
@@ -4,8 +4,8 @@
 export interface WaveInstance {
   readonly instanceId: string;
   readonly isUp: boolean;
-  /** Whether its pool's instances are switched off anyway. */
-  readonly isSpare: boolean;
+  /** Whether its pool can do without it now. */
+  readonly isDispensable: boolean;
   readonly runCount: number;
   /** Whether it already takes no further tasks for this wave. */
   readonly isClosing: boolean;
@@ -29,12 +29,12 @@
   readonly close: readonly string[];
 }
 
-/** Busy instances are drained once less than this many times the least possible time is left. */
+/** Instances that are needed are taken and drained once less than this many times the least possible time is left. */
 const URGENCY = 2;
 
 /**
- * Takes instances that run nothing at once, and drains busy ones only when the
- * term asks for it.
+ * Takes instances that run nothing and that nobody needs at once, and drains
+ * others only when the term asks for it.
  *
  * @example
  * ```ts
@@ -44,12 +44,15 @@
 export function planWave({ remaining, downCount, maxAtOnce, timeLeftMs, roundMs }: WaveRequest): WaveStep {
   const up = remaining.filter(({ isUp }) => isUp);
   const room = Math.max(0, maxAtOnce - downCount);
+  const rounds = Math.ceil(remaining.length / Math.max(1, maxAtOnce));
+  const isUrgent = timeLeftMs <= rounds * roundMs * URGENCY;
   const idle = up
-    .filter(({ runCount }) => runCount === 0)
-    .sort((a, b) => Number(b.isClosing) - Number(a.isClosing) || Number(b.isSpare) - Number(a.isSpare));
+    .filter(
+      ({ runCount, isDispensable, isClosing }) => runCount === 0 && (isUrgent || isDispensable || isClosing),
+    )
+    .sort((a, b) => rank(a) - rank(b));
   const maintain = idle.slice(0, room).map(({ instanceId }) => instanceId);
-  const rounds = Math.ceil(remaining.length / Math.max(1, maxAtOnce));
-  if (timeLeftMs > rounds * roundMs * URGENCY) return { maintain, close: [] };
+  if (!isUrgent) return { maintain, close: [] };
   const closing = up.filter(({ isClosing, runCount }) => isClosing && runCount > 0).length;
   const close = up
     .filter(({ isClosing, runCount }) => !isClosing && runCount > 0)
@@ -57,3 +60,9 @@
     .slice(0, Math.max(0, room - maintain.length - closing));
   return { maintain, close: close.map(({ instanceId }) => instanceId) };
 }
+
+/** Drained instances first, then those that nobody needs. */
+function rank({ isClosing, isDispensable }: WaveInstance): number {
+  if (isClosing) return 0;
+  return isDispensable ? 1 : 2;
+}
--- a/telemetry/events_catalogue.ts
+++ b/telemetry/events_catalogue.ts
@@ -52,6 +52,7 @@
   operatorRowUnusable: logEvent(721, 'operator row unusable'),
   storeReached: logEvent(722, 'store reached again'),
   storeLost: logEvent(723, 'store out of reach'),
+  poolSummary: logEvent(724, 'pool summary'),
   jobAccepted: logEvent(730, 'job accepted'),
   jobRefused: logEvent(731, 'job refused'),
   settingsReloaded: logEvent(732, 'settings file read again'),
