Relay calls between processes and hand the role over without the store

Cause: while the store refused some machines, their callers were refused until they tried elsewhere, and a holder among them kept the role for 3.7 s without being able to start anything.

Change: adds relay/: processes register in the store, take each other's calls over JSON-RPC, and a holder whose transactions fail asks a process that reaches the store to follow it. The release waits for the transaction under way.

--- a/callers/callers_plugin.ts
+++ b/callers/callers_plugin.ts
@@ -1,14 +1,12 @@
 /** Serves callers, the balancer's question for readiness, and metrics. */
 import { Hono } from 'hono';
-import { CALLER_CODEC, NODE_SETTINGS, OPERATOR_ORDERS, ROW_STORE } from '../daemon/capabilities';
-import type { NodeSettings } from '../daemon/node_settings';
+import { CALLER_CODEC, JOB_DESK, NODE_SETTINGS, OPERATOR_ORDERS } from '../daemon/capabilities';
 import { HttpServer } from '../entry/http_server';
 import type { Kernel } from '../kernel/kernel';
 import { Plugin } from '../kernel/plugin';
 import { pluginRegistry } from '../kernel/plugin_registry';
 import { COUNTERS, LOGGER } from '../settings/base_capabilities';
 import { jobApi } from './job_api';
-import { JobIntake } from './job_intake';
 
 /** Time that the balancer needs to notice that the process is leaving, in milliseconds: it asks each second and wants two refusals. */
 const BALANCER_GRACE_MS = 2_700;
@@ -18,7 +16,7 @@
 
 class CallersPlugin extends Plugin {
   override readonly name = 'callers';
-  override readonly requires = ['wire', 'operator'];
+  override readonly requires = ['wire', 'operator', 'relay'];
   private kernel: Kernel | null = null;
   private servers: readonly HttpServer[] = [];
   private isLeaving = false;
@@ -56,9 +54,8 @@
     return jobApi({
       clock: kernel.clock,
       codec: kernel.use(CALLER_CODEC),
-      intake: new JobIntake({ store: kernel.use(ROW_STORE), clock: kernel.clock }),
+      desk: kernel.use(JOB_DESK),
       rules: orders.rules,
-      isStoreReachable: orders.isStoreReachable,
       counters: kernel.use(COUNTERS),
       logger: kernel.use(LOGGER),
     });
@@ -76,7 +73,4 @@
   }
 }
 
-/** Settings that the plug-in reads. */
-export type CallerSettings = Pick<NodeSettings, 'callerAddress' | 'readinessAddress' | 'stopGraceMs'>;
-
 pluginRegistry.add({ name: 'callers', create: () => new CallersPlugin() });
--- a/callers/job_api.ts
+++ b/callers/job_api.ts
@@ -8,7 +8,7 @@
 import { LOG_EVENTS } from '../telemetry/events_catalogue';
 import type { Logger } from '../telemetry/logger';
 import { BadBodyError, type CallerCodec } from './caller_codec';
-import type { JobIntake } from './job_intake';
+import type { JobDesk } from './job_desk';
 
 /** Ids of jobs are chosen by callers. */
 const JOB_ID = /^[0-9a-f]{16}$/;
@@ -25,10 +25,8 @@
 export interface JobApiOptions {
   readonly clock: Clock;
   readonly codec: CallerCodec;
-  readonly intake: JobIntake;
+  readonly desk: JobDesk;
   readonly rules: () => FleetRules | null;
-  /** Whether the store has answered lately; without it nothing can be accepted. */
-  readonly isStoreReachable: () => boolean;
   readonly counters: Counters;
   readonly logger: Logger;
 }
@@ -102,7 +100,7 @@
   }
 
   private async submit({ context, queue, rules, teamId, rest }: Call): Promise<Response> {
-    const { codec, intake, clock, isStoreReachable } = this.options;
+    const { codec, desk, clock } = this.options;
     const patienceMs = codec.readPatienceMs((name) => context.req.header(name)) ?? DEFAULT_PATIENCE_MS;
     const untilMs = clock.monotonicMs() + patienceMs - ANSWER_MARGIN_MS;
     if (Number(context.req.header('content-length') ?? 0) > rules.maxBodyBytes) {
@@ -111,28 +109,27 @@
     const text = await context.req.text();
     if (Buffer.byteLength(text) > rules.maxBodyBytes) return this.refuse(context, 413, 'body_too_large');
     const definition = codec.decodeJob(text);
-    if (!isStoreReachable()) return this.refuse(context, 503, 'store_out_of_reach');
     const submission = { jobId: rest, queueId: queue.queueId, teamId, definition, untilMs };
-    const isNew = await intake.submit(submission);
+    const isNew = await desk.submit(submission);
     this.options.counters.increment('jobs.accepted', isNew ? 'new' : 'repeated');
     this.options.logger.info(LOG_EVENTS.jobAccepted, { jobId: rest, queueId: queue.queueId, teamId, isNew });
     return context.json({}, 200);
   }
 
   private async state({ context, rest }: Call): Promise<Response> {
-    const state = await this.options.intake.state(rest);
+    const state = await this.options.desk.state(rest);
     if (state === null) return context.json({ error: 'There is no such job.' }, 410);
     return context.json(this.options.codec.encodeState(state), 200);
   }
 
   private async cancel({ context, rest }: Call): Promise<Response> {
-    const isKnown = await this.options.intake.cancel(rest);
+    const isKnown = await this.options.desk.cancel(rest);
     this.options.counters.increment('jobs.cancel', isKnown ? 'accepted' : 'unknown_job');
     return isKnown ? context.json({}, 200) : context.json({ error: 'There is no such job.' }, 410);
   }
 
   private async pending({ context, queue }: Call): Promise<Response> {
-    const pending = await this.options.intake.pending(queue.queueId);
+    const pending = await this.options.desk.pending(queue.queueId);
     return context.json(this.options.codec.encodePending(pending), 200);
   }
 
--- a/callers/job_intake.ts
+++ b/callers/job_intake.ts
@@ -1,7 +1,8 @@
 /** Takes jobs from callers into the store and answers about them. */
 import type { Clock } from '../kernel/clock';
 import { decodeQueueStatus, queueStatusAddress } from '../placement/queue_status';
-import type { AcceptedJob, JobDefinition } from '../scheduling/job_definition';
+import type { AcceptedJob } from '../scheduling/job_definition';
+import { JobDesk, type Submission } from './job_desk';
 import { isEnded, type JobState } from '../scheduling/job_progress';
 import {
   cancelAddress,
@@ -22,19 +23,8 @@
   readonly clock: Clock;
 }
 
-export interface Submission {
-  readonly jobId: string;
-  readonly queueId: string;
-  readonly teamId: string | null;
-  readonly definition: JobDefinition;
-  /** Until when the caller waits, on the steady clock. */
-  readonly untilMs: number;
-}
-
 /**
- * Accepts, cancels and reports jobs. Every method throws
- * `StoreUnavailableError` if nothing was done and `StoreOutcomeUnknownError`
- * if that is not known.
+ * Serves callers from the rows in the store.
  *
  * @example
  * ```ts
@@ -42,16 +32,16 @@
  * await intake.submit({ jobId, queueId, teamId, definition, untilMs });
  * ```
  */
-export class JobIntake {
+export class JobIntake extends JobDesk {
   private readonly writers: ReadonlyMap<string, GroupWriter>;
   private readonly ended = new Map<string, JobState>();
 
   constructor(private readonly options: JobIntakeOptions) {
+    super();
     this.writers = new Map(JOB_PARTITIONS.map((partition) => [partition, new GroupWriter(options)]));
   }
 
-  /** Resolves once the job is stored; `false` if it was already. */
-  async submit({ untilMs, ...submission }: Submission): Promise<boolean> {
+  override async submit({ untilMs, ...submission }: Submission): Promise<boolean> {
     const job: AcceptedJob = { ...submission, acceptedAtMs: this.options.clock.wallMs() };
     const address = jobAddress(job.jobId);
     const writer = this.writers.get(address.partition);
@@ -59,8 +49,7 @@
     return writer.create({ ...address, value: encodeJob(job) }, untilMs);
   }
 
-  /** The state of a job; `null` if there is no such job. */
-  async state(jobId: string): Promise<JobState | null> {
+  override async state(jobId: string): Promise<JobState | null> {
     const remembered = this.ended.get(jobId);
     if (remembered !== undefined) return remembered;
     const { store } = this.options;
@@ -71,16 +60,14 @@
     return state;
   }
 
-  /** Asks the holder of the placement role to cancel a job. Returns `false` if there is no such job. */
-  async cancel(jobId: string): Promise<boolean> {
+  override async cancel(jobId: string): Promise<boolean> {
     const { store } = this.options;
     if ((await store.readOne(jobAddress(jobId))) === null) return false;
     await store.transact({ conditions: [], writes: [{ ...cancelAddress(jobId), value: '{}' }] });
     return true;
   }
 
-  /** Accepted jobs of a queue of which no task has started; may be a second old. */
-  async pending(queueId: string): Promise<number> {
+  override async pending(queueId: string): Promise<number> {
     const row = await this.options.store.readOne(queueStatusAddress(queueId));
     return row === null ? 0 : decodeQueueStatus(row.value).pending;
   }
--- a/daemon/capabilities.ts
+++ b/daemon/capabilities.ts
@@ -1,5 +1,6 @@
 /** What the plug-ins of the scheduler process offer each other. */
 import type { CallerCodec } from '../callers/caller_codec';
+import type { JobDesk } from '../callers/job_desk';
 import { capability } from '../kernel/capability';
 import type { FleetRules } from '../scheduling/fleet_rules';
 import type { InstanceOperations } from '../scheduling/instance_operations';
@@ -8,6 +9,7 @@
 import type { RulesBook } from '../scheduling/rules_book';
 import type { WaveOrder } from '../scheduling/wave_order';
 import type { WorkerGateway } from '../scheduling/worker_gateway';
+import type { RelayClient } from '../relay/relay_client';
 import type { RowStore } from '../store/row_store';
 import type { NodeSettings } from './node_settings';
 
@@ -19,6 +21,14 @@
   readonly isStoreReachable: () => boolean;
 }
 
+/** Lets another process ask this one to follow it as the holder of the placement role. */
+export interface RoleHandover {
+  readonly onTakeOver: (listener: (epoch: number) => void) => void;
+}
+
+export const JOB_DESK = capability<JobDesk>('relay.job_desk');
+export const RELAY_CLIENT = capability<RelayClient>('relay.client');
+export const ROLE_HANDOVER = capability<RoleHandover>('relay.role_handover');
 export const NODE_SETTINGS = capability<NodeSettings>('daemon.node_settings');
 export const ROW_STORE = capability<RowStore>('platform.row_store');
 export const PLATFORM_ROWS = capability<PlatformRows>('platform.rows');
--- a/daemon/node_settings.ts
+++ b/daemon/node_settings.ts
@@ -8,6 +8,8 @@
   readonly callerAddress: SocketAddress | null;
   /** Where the balancer asks whether this process takes callers. */
   readonly readinessAddress: SocketAddress | null;
+  /** Where other processes of the system are served. */
+  readonly internalAddress: SocketAddress;
   readonly storeAddress: string;
   readonly instancesAddress: string;
   /** Empty if no queue asks for advice. */
--- a/daemon/wiring.ts
+++ b/daemon/wiring.ts
@@ -1,6 +1,7 @@
 /** Wires the parts of a scheduler process. Plug-ins register themselves when they are imported here. */
 import '../platform/wire_plugin';
 import './operator_plugin';
+import '../relay/relay_plugin';
 import '../callers/callers_plugin';
 import '../placement/placement_plugin';
 import type { Clock } from '../kernel/clock';
--- a/placement/_placement_world.ts
+++ b/placement/_placement_world.ts
@@ -228,6 +228,7 @@
       maxWorkerLeaseMs: FAKE_LEASE_MS,
       counters: this.counters,
       logger: Logger.create({ level: 'silent' }),
+      onCutOff: () => undefined,
       onLost: () => {
         this.lost += 1;
       },
@@ -240,6 +241,10 @@
     }
   }
 
+  noteResigned(epoch: number): void {
+    this.watch.noteResigned(epoch);
+  }
+
   /** Ends without a word, as by SIGKILL. */
   kill(): void {
     this.watch.stop();
--- a/placement/lease_watch.ts
+++ b/placement/lease_watch.ts
@@ -4,7 +4,7 @@
 import { decodeLease, encodeLease, LEASE_ADDRESS, NO_LEASE, type LeaseRow } from './lease_row';
 
 /** How often the lease is read while another process holds it, in milliseconds. */
-const WATCH_INTERVAL_MS = 700;
+const WATCH_INTERVAL_MS = 450;
 
 /** Added to the lease before it is taken over, in milliseconds, for the drift of two steady clocks. */
 const TAKEOVER_MARGIN_MS = 150;
@@ -44,11 +44,20 @@
   private stopped = false;
   private seenVersion = -1;
   private unchangedSinceMs = 0;
+  private resignedEpoch = 0;
+  private wake: () => void = () => undefined;
 
   constructor(private readonly options: LeaseWatchOptions) {}
 
   stop(): void {
     this.stopped = true;
+    this.wake();
+  }
+
+  /** The holder of this epoch has stopped: its lease may be taken over at once. */
+  noteResigned(epoch: number): void {
+    this.resignedEpoch = epoch;
+    this.wake();
   }
 
   /** Resolves with the lease, or with `null` after {@link stop}. */
@@ -56,11 +65,21 @@
     while (!this.isStopped()) {
       const acquired = await this.attempt();
       if (acquired !== null) return acquired;
-      await this.options.clock.delay(WATCH_INTERVAL_MS);
+      await this.pause();
     }
     return null;
   }
 
+  private pause(): Promise<void> {
+    return new Promise((resolve) => {
+      const timer = this.options.clock.schedule(WATCH_INTERVAL_MS, resolve);
+      this.wake = () => {
+        timer.cancel();
+        resolve();
+      };
+    });
+  }
+
   private isStopped(): boolean {
     return this.stopped;
   }
@@ -83,7 +102,7 @@
     const lease = decodeLease(row.value);
     const { nodeName, processId } = this.options.identity;
     if (lease.processId === '' || lease.processId === processId) return true;
-    if (lease.nodeName === nodeName) return true;
+    if (lease.nodeName === nodeName || lease.epoch === this.resignedEpoch) return true;
     const nowMs = this.options.clock.monotonicMs();
     if (row.version !== this.seenVersion) {
       this.seenVersion = row.version;
--- a/placement/placement_holder.ts
+++ b/placement/placement_holder.ts
@@ -73,6 +73,8 @@
   readonly maxWorkerLeaseMs: number;
   readonly counters: Counters;
   readonly logger: Logger;
+  /** Called several times a second while the store does not take this process's transactions. */
+  readonly onCutOff: () => void;
   /** Called once when the role is lost. */
   readonly onLost: () => void;
 }
@@ -220,6 +222,11 @@
     this.fleet.close();
   }
 
+  /** Stops in favour of another process that reaches the store. */
+  resign(): void {
+    this.lose('handed over, since the store is out of reach');
+  }
+
   /** Looks at the jobs again after a change of the rules. */
   onRulesChanged(): void {
     this.schedulePlan();
@@ -415,6 +422,7 @@
     this.tickTimer = this.options.clock.schedule(TICK_MS, () => {
       this.tick();
     });
+    if (this.journal.isCutOff()) this.options.onCutOff();
     this.fleet.sweep();
     this.writeQueueStatus();
     this.logSummary();
--- a/placement/placement_holder_test.ts
+++ b/placement/placement_holder_test.ts
@@ -215,6 +215,36 @@
     expect(worker.fence).toBe(2);
   });
 
+  test('a role is given back although a transaction was under way when the process was stopped', async () => {
+    const world = new PlacementWorld();
+    const worker = await world.addWorker('w1');
+    const first = world.process('a');
+    void first.run();
+    await world.advance(200);
+    void world.process('b').run();
+    first.store.faults = { ...NO_ROW_STORE_FAULTS, answerMs: 600 };
+    await world.submit(JOB, [STEP]);
+    await world.advance(150);
+    void first.holder?.release();
+    await world.advance(2_500);
+    expect(worker.fence).toBe(2);
+  });
+
+  test('a process that is told that the holder has resigned follows at once', async () => {
+    const world = new PlacementWorld();
+    const worker = await world.addWorker('w1');
+    const [first, second] = [world.process('a'), world.process('b')];
+    void first.run();
+    await world.advance(200);
+    void second.run();
+    await world.advance(100);
+    first.holder?.resign();
+    second.noteResigned(1);
+    await world.advance(200);
+    expect(first.lost).toBe(1);
+    expect(worker.fence).toBe(2);
+  });
+
   test('an unreadable entry names no worker, and the others hold', async () => {
     const world = new PlacementWorld();
     const worker = await world.addWorker('w1');
--- a/placement/placement_journal.ts
+++ b/placement/placement_journal.ts
@@ -25,6 +25,14 @@
 /** The holder stops this long before others may take the role over, in milliseconds. */
 const EXPIRY_MARGIN_MS = 300;
 
+/** So many refused attempts in a row, or one unanswered one and this time, in milliseconds, show that the store is out of reach. */
+const CUT_OFF_ATTEMPTS = 4;
+const CUT_OFF_MS = 1_500;
+
+/** Longest wait for a transaction under way before the role is given back, in milliseconds: a slow store takes some hundred. */
+const RELEASE_LIMIT_MS = 2_500;
+const RELEASE_POLL_MS = 20;
+
 /** Decisions of this time are written together, in milliseconds; calls are priced, and a start may wait this long. */
 const GATHER_MS = 12;
 
@@ -67,6 +75,8 @@
   private isClosed = false;
   private timer: Timer | null = null;
   private lastSentAtMs: number;
+  private lastCommitAtMs: number;
+  private failedAttempts = 0;
 
   constructor(private readonly options: PlacementJournalOptions) {
     const { lease, leaseMs } = options;
@@ -74,6 +84,7 @@
     this.version = lease.version;
     this.validUntilMs = lease.sentAtMs + leaseMs - EXPIRY_MARGIN_MS;
     this.lastSentAtMs = lease.sentAtMs;
+    this.lastCommitAtMs = lease.sentAtMs;
     this.schedule(RENEW_INTERVAL_MS);
   }
 
@@ -86,6 +97,12 @@
     return !this.isClosed && this.options.clock.monotonicMs() < this.validUntilMs;
   }
 
+  /** Whether the store has not taken this process's transactions for a while. */
+  isCutOff(): boolean {
+    const sinceMs = this.options.clock.monotonicMs() - this.lastCommitAtMs;
+    return this.failedAttempts >= CUT_OFF_ATTEMPTS || (this.failedAttempts > 0 && sinceMs > CUT_OFF_MS);
+  }
+
   /** Puts a row into the next transaction; a later value of the same row replaces it. */
   stage(write: RowWrite): void {
     this.serial += 1;
@@ -109,7 +126,10 @@
 
   /** Writes what is staged and gives the role back, so that another process takes it over at once. */
   async release(): Promise<void> {
-    for (let attempt = 0; attempt < 3 && this.isBusy; attempt += 1) await this.options.clock.delay(RETRY_MS);
+    const untilMs = this.options.clock.monotonicMs() + RELEASE_LIMIT_MS;
+    // The transaction under way decides which version of the lease has to be given back.
+    while (this.isBusy && this.options.clock.monotonicMs() < untilMs)
+      await this.options.clock.delay(RELEASE_POLL_MS);
     if (this.isClosed || this.isBusy) return;
     await this.commit();
     this.isBusy = true;
@@ -169,11 +189,14 @@
       });
       if (result.kind === 'conflict') return this.reconcile(result.rows[0]);
       this.version = result.version;
+      this.lastCommitAtMs = this.options.clock.monotonicMs();
+      this.failedAttempts = 0;
       this.validUntilMs = sentAtMs + this.options.leaseMs - EXPIRY_MARGIN_MS;
       for (const staged of batch) this.markCommitted(staged);
       return true;
     } catch (error) {
       if (!isStoreFailure(error)) throw error;
+      this.failedAttempts += 1;
       return false;
     }
   }
--- a/placement/placement_plugin.ts
+++ b/placement/placement_plugin.ts
@@ -6,6 +6,8 @@
   OPERATOR_ORDERS,
   PLACEMENT_ADVICE,
   PLATFORM_ROWS,
+  RELAY_CLIENT,
+  ROLE_HANDOVER,
   ROW_STORE,
   RULES_BOOK,
   WORKER_GATEWAY,
@@ -15,6 +17,8 @@
 import { pluginRegistry } from '../kernel/plugin_registry';
 import { COUNTERS, LOGGER } from '../settings/base_capabilities';
 import { isStoreFailure } from '../store/row_store';
+import { MAY_TAKE_OVER, TAKE_OVER } from '../relay/relay_calls';
+import { RelayUnansweredError } from '../relay/relay_client';
 import { LOG_EVENTS } from '../telemetry/events_catalogue';
 import { LeaseWatch, type AcquiredLease } from './lease_watch';
 import { PlacementHolder } from './placement_holder';
@@ -22,20 +26,27 @@
 /** Pause before the role is stood for again after it was lost, in milliseconds; a faulty holder must not come back at once. */
 const REENTRY_MS = 1_000;
 
+/** Time limit of a call about handing the role over, in milliseconds; the lease runs out by itself within 3 s. */
+const HAND_OVER_TIMEOUT_MS = 300;
+
 class PlacementPlugin extends Plugin {
   override readonly name = 'placement';
   // Stops before the callers' interface, which goes on for seconds: the role is given back at once.
-  override readonly requires = ['wire', 'operator', 'callers'];
+  override readonly requires = ['wire', 'operator', 'relay', 'callers'];
   private kernel: Kernel | null = null;
   private watch: LeaseWatch | null = null;
   private holder: PlacementHolder | null = null;
   private isStopped = false;
+  private isHandingOver = false;
 
   override setUp(kernel: Kernel): void {
     this.kernel = kernel;
     kernel.use(RULES_BOOK).onChange(() => {
       this.holder?.onRulesChanged();
     });
+    kernel.use(ROLE_HANDOVER).onTakeOver((epoch) => {
+      this.watch?.noteResigned(epoch);
+    });
   }
 
   override start(): Promise<void> {
@@ -92,6 +103,9 @@
         maxWorkerLeaseMs,
         counters: kernel.use(COUNTERS),
         logger: kernel.use(LOGGER),
+        onCutOff: () => {
+          void this.handOver(kernel, holder, lease.row.epoch);
+        },
         onLost: resolve,
       });
       this.holder = holder;
@@ -100,6 +114,22 @@
     this.holder = null;
   }
 
+  /** Asks a process that reaches the store to follow, after this one has stopped. */
+  private async handOver(kernel: Kernel, holder: PlacementHolder, epoch: number): Promise<void> {
+    if (this.isHandingOver) return;
+    this.isHandingOver = true;
+    const client = kernel.use(RELAY_CLIENT);
+    const successor = await client.findWilling(MAY_TAKE_OVER, {}, HAND_OVER_TIMEOUT_MS);
+    if (successor !== null && this.holder === holder) {
+      holder.resign();
+      await client.ask(successor, TAKE_OVER, { epoch }, HAND_OVER_TIMEOUT_MS).catch((error: unknown) => {
+        // The others take the role over once the lease has run out.
+        if (!(error instanceof RelayUnansweredError)) throw error;
+      });
+    }
+    this.isHandingOver = false;
+  }
+
   private async begin(kernel: Kernel, holder: PlacementHolder, giveUp: () => void): Promise<void> {
     try {
       await holder.start();
--- /dev/null
+++ b/relay/relay_plugin.ts
@@ -0,0 +1,83 @@
+/** Connects the processes of the system with each other. */
+import { JobIntake } from '../callers/job_intake';
+import {
+  JOB_DESK,
+  NODE_SETTINGS,
+  OPERATOR_ORDERS,
+  RELAY_CLIENT,
+  ROLE_HANDOVER,
+  ROW_STORE,
+} from '../daemon/capabilities';
+import { HttpServer } from '../entry/http_server';
+import type { Kernel } from '../kernel/kernel';
+import { Plugin } from '../kernel/plugin';
+import { pluginRegistry } from '../kernel/plugin_registry';
+import { COUNTERS } from '../settings/base_capabilities';
+import { ProcessDirectory } from './process_directory';
+import { RelayClient } from './relay_client';
+import { relayApp } from './relay_server';
+import { RelayedDesk } from './relayed_desk';
+
+class RelayPlugin extends Plugin {
+  override readonly name = 'relay';
+  override readonly requires = ['wire', 'operator'];
+  private kernel: Kernel | null = null;
+  private directory: ProcessDirectory | null = null;
+  private client: RelayClient | null = null;
+  private takeOver: (epoch: number) => void = () => undefined;
+
+  override setUp(kernel: Kernel): void {
+    this.kernel = kernel;
+    const { nodeName, internalAddress } = kernel.use(NODE_SETTINGS);
+    const store = kernel.use(ROW_STORE);
+    const { clock } = kernel;
+    const directory = new ProcessDirectory({
+      store,
+      clock,
+      nodeName,
+      address: `${internalAddress.host}:${internalAddress.port}`,
+    });
+    const client = new RelayClient(() => directory.others());
+    this.directory = directory;
+    this.client = client;
+    kernel.provide(RELAY_CLIENT, client);
+    kernel.provide(ROLE_HANDOVER, {
+      onTakeOver: (listener) => {
+        this.takeOver = listener;
+      },
+    });
+    kernel.provide(
+      JOB_DESK,
+      new RelayedDesk({
+        clock,
+        client,
+        local: new JobIntake({ store, clock }),
+        isStoreReachable: kernel.use(OPERATOR_ORDERS).isStoreReachable,
+        counters: kernel.use(COUNTERS),
+      }),
+    );
+  }
+
+  override async start(): Promise<void> {
+    if (this.kernel === null) throw new Error('The plug-in is not set up.');
+    const { clock } = this.kernel;
+    const app = relayApp({
+      clock,
+      desk: new JobIntake({ store: this.kernel.use(ROW_STORE), clock }),
+      isStoreReachable: this.kernel.use(OPERATOR_ORDERS).isStoreReachable,
+      onTakeOver: (epoch) => {
+        this.takeOver(epoch);
+      },
+    });
+    await HttpServer.listen({ app, ...this.kernel.use(NODE_SETTINGS).internalAddress });
+    this.directory?.start();
+  }
+
+  override stop(): Promise<void> {
+    this.directory?.stop();
+    this.client?.close();
+    return Promise.resolve();
+  }
+}
+
+pluginRegistry.add({ name: 'relay', create: () => new RelayPlugin() });
