--- a/net/http_channel.ts
+++ b/net/http_channel.ts
@@ -1,5 +1,5 @@
 /** HTTP/1.1 calls to one address, with a limit on time and a clear statement of whether a call may have arrived. */
-import { errors, Pool } from 'undici';
+import { Pool } from 'undici';
 
 /** Time to open a connection, in milliseconds; a machine without power does not answer the opening packet. */
 const CONNECT_TIMEOUT_MS = 1_000;
@@ -100,10 +100,14 @@
 
 function classify(error: unknown): Error {
   if (error instanceof CallUnansweredError) return error;
-  const code = error instanceof Error && 'code' in error ? String(error.code) : '';
-  const reason = error instanceof Error ? error.message : String(error);
-  if (error instanceof errors.ConnectTimeoutError || NOT_SENT_CODES.has(code)) {
-    return new CallNotSentError(`The connection was not opened: ${reason}`);
-  }
-  return new CallUnansweredError(`No answer arrived: ${reason}`);
+  const { code, message } = describe(error);
+  if (NOT_SENT_CODES.has(code)) return new CallNotSentError(`The connection was not opened: ${message}`);
+  return new CallUnansweredError(`No answer arrived: ${message}`);
+}
+
+/** Errors of sockets may come from another realm, so that they are told by their fields. */
+function describe(error: unknown): { readonly code: string; readonly message: string } {
+  if (typeof error !== 'object' || error === null) return { code: '', message: String(error) };
+  const fields = error as { readonly code?: unknown; readonly message?: unknown };
+  return { code: String(fields.code ?? ''), message: String(fields.message ?? '') };
 }
--- /dev/null
+++ b/scheduling/pool_sizing_test.ts
@@ -0,0 +1,50 @@
+/** Guards which instances move, and that none moves that runs something. */
+import { planSizes, type PoolDemand, type SizedInstance } from './pool_sizing';
+
+function pool(poolId: string, wantedInstances: number, fields: Partial<PoolDemand> = {}): PoolDemand {
+  return { poolId, isSpare: false, wantedInstances, incoming: 0, ...fields };
+}
+
+function instance(instanceId: string, poolId: string, fields: Partial<SizedInstance> = {}): SizedInstance {
+  return { instanceId, poolId, isMovable: true, runCount: 0, lastingCount: 0, ...fields };
+}
+
+const SPARE = pool('spare', 0, { isSpare: true });
+
+describe('planSizes', () => {
+  test('fills a pool from the spare pool before it takes from another one', () => {
+    const instances = [instance('a', 'cold'), instance('s', 'spare')];
+    const { moves } = planSizes({ pools: [SPARE, pool('cold', 0), pool('hot', 1)], instances });
+    expect(moves).toEqual([
+      { instanceId: 's', toPoolId: 'hot' },
+      { instanceId: 'a', toPoolId: 'spare' },
+    ]);
+  });
+
+  test('counts instances on their way', () => {
+    const plan = planSizes({
+      pools: [SPARE, pool('hot', 1, { incoming: 1 })],
+      instances: [instance('s', 'spare')],
+    });
+    expect(plan.moves).toEqual([]);
+  });
+
+  test('closes an instance that runs something instead of moving it', () => {
+    const instances = [instance('a', 'p', { runCount: 2 })];
+    expect(planSizes({ pools: [SPARE, pool('p', 0)], instances })).toEqual({ moves: [], closing: ['a'] });
+  });
+
+  test('gives up instances without lasting tasks first', () => {
+    const instances = [
+      instance('a', 'p', { runCount: 1, lastingCount: 1 }),
+      instance('b', 'p', { runCount: 2 }),
+    ];
+    expect(planSizes({ pools: [SPARE, pool('p', 1)], instances }).closing).toEqual(['b']);
+  });
+
+  test('lets pools that lack instances take turns', () => {
+    const instances = ['s', 't'].map((id) => instance(id, 'spare'));
+    const { moves } = planSizes({ pools: [SPARE, pool('x', 2), pool('y', 2)], instances });
+    expect(moves.map(({ toPoolId }) => toPoolId)).toEqual(['x', 'y']);
+  });
+});
--- /dev/null
+++ b/scheduling/wave_plan_test.ts
@@ -0,0 +1,37 @@
+/** Guards the order in which a wave takes its instances. */
+import { planWave, type WaveInstance, type WaveRequest } from './wave_plan';
+
+function instance(instanceId: string, fields: Partial<WaveInstance> = {}): WaveInstance {
+  return { instanceId, isUp: true, isDispensable: false, runCount: 0, isClosing: false, ...fields };
+}
+
+function request(fields: Partial<WaveRequest>): WaveRequest {
+  return { remaining: [], downCount: 0, maxAtOnce: 2, timeLeftMs: 60_000, roundMs: 5_000, ...fields };
+}
+
+describe('planWave', () => {
+  test('takes nobody beyond the limit, also when some are down already', () => {
+    const remaining = ['a', 'b', 'c'].map((id) => instance(id, { isDispensable: true }));
+    expect(planWave(request({ remaining })).maintain).toEqual(['a', 'b']);
+    expect(planWave(request({ remaining, downCount: 1 })).maintain).toEqual(['a']);
+    expect(planWave(request({ remaining, downCount: 3 })).maintain).toEqual([]);
+  });
+
+  test('leaves idle instances that their pool needs until the term presses', () => {
+    const remaining = [instance('a'), instance('b', { isDispensable: true })];
+    expect(planWave(request({ remaining })).maintain).toEqual(['b']);
+    expect(planWave(request({ remaining, timeLeftMs: 9_000 })).maintain).toEqual(['b', 'a']);
+  });
+
+  test('drains busy instances only when the term presses, the least busy first', () => {
+    const remaining = [instance('a', { runCount: 3 }), instance('b', { runCount: 1 })];
+    expect(planWave(request({ remaining, maxAtOnce: 1 })).close).toEqual([]);
+    const urgent = request({ remaining, maxAtOnce: 1, timeLeftMs: 9_000 });
+    expect(planWave(urgent)).toEqual({ maintain: [], close: ['b'] });
+  });
+
+  test('never takes an instance that still runs something or is not up', () => {
+    const remaining = [instance('a', { runCount: 1, isClosing: true }), instance('b', { isUp: false })];
+    expect(planWave(request({ remaining, timeLeftMs: 0 })).maintain).toEqual([]);
+  });
+});
