--- a/net/http_channel.ts
+++ b/net/http_channel.ts
@@ -108,6 +108,9 @@
 /** Errors of sockets may come from another realm, so that they are told by their fields. */
 function describe(error: unknown): { readonly code: string; readonly message: string } {
   if (typeof error !== 'object' || error === null) return { code: '', message: String(error) };
-  const fields = error as { readonly code?: unknown; readonly message?: unknown };
-  return { code: String(fields.code ?? ''), message: String(fields.message ?? '') };
+  const text = (value: unknown): string => (typeof value === 'string' ? value : '');
+  return {
+    code: text('code' in error ? error.code : ''),
+    message: text('message' in error ? error.message : ''),
+  };
 }
