Spend less processor time after a restart and in rounds of placement

Loading the bundle took 0.3 s of processor time at each start; each round built the waiting tasks of every job anew; each log line was a write.

--- a/daemon/scheduler_main.ts
+++ b/daemon/scheduler_main.ts
@@ -1,4 +1,3 @@
-#!/usr/bin/env node
 /** Daemon of a scheduler process on the users' platform. */
 import { readFileSync } from 'node:fs';
 import { SystemClock } from '../kernel/system_clock';
@@ -11,7 +10,7 @@
 const EXIT_BAD_SETTINGS = 2;
 
 async function main(): Promise<void> {
-  const logger = Logger.create({ level: process.env.ENDIVESTAND_LOG_LEVEL ?? 'info' });
+  const logger = Logger.buffered({ level: process.env.ENDIVESTAND_LOG_LEVEL ?? 'info' });
   const path = process.env[NODE_FILE_VARIABLE];
   if (path === undefined) throw new NodeFileError([`${NODE_FILE_VARIABLE} is not set.`]);
   const settings = decodeNodeFile(readFileSync(path, 'utf8'));
@@ -36,12 +35,15 @@
   logger.info(LOG_EVENTS.stopped);
 }
 
-main().then(
-  () => {
-    process.exit(0);
-  },
-  (error: unknown) => {
-    process.stderr.write(`${error instanceof Error ? error.message : String(error)}\n`);
-    process.exit(error instanceof NodeFileError ? EXIT_BAD_SETTINGS : EXIT_FAILURE);
-  },
-);
+/** Runs the daemon until it is told to stop, and exits with 0, 1 (failure) or 2 (unusable settings). */
+export function runScheduler(): void {
+  main().then(
+    () => {
+      process.exit(0);
+    },
+    (error: unknown) => {
+      process.stderr.write(`${error instanceof Error ? error.message : String(error)}\n`);
+      process.exit(error instanceof NodeFileError ? EXIT_BAD_SETTINGS : EXIT_FAILURE);
+    },
+  );
+}
--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -17,5 +17,10 @@
       '@typescript-eslint/no-unnecessary-type-parameters': 'off',
     },
   },
-  { files: ['**/*.mjs', '**/*.js'], ...tseslint.configs.disableTypeChecked },
+  { files: ['**/*.mjs', '**/*.cjs', '**/*.js'], ...tseslint.configs.disableTypeChecked },
+  {
+    files: ['**/*.cjs'],
+    languageOptions: { globals: { require: 'readonly', module: 'writable', __dirname: 'readonly' } },
+    rules: { '@typescript-eslint/no-require-imports': 'off' },
+  },
 );
--- a/placement/placement_holder.ts
+++ b/placement/placement_holder.ts
@@ -46,8 +46,8 @@
 const WORKER_FEED_PAUSE_MS = 400;
 const WORKER_FEED_WAIT_MS = 1_000;
 
-/** Events of this time are planned for together, in milliseconds. */
-const PLAN_DELAY_MS = 3;
+/** Events of this time are planned for together, in milliseconds; a transaction gathers for longer. */
+const PLAN_DELAY_MS = 8;
 
 /** How often work that depends on time alone is looked at, in milliseconds. */
 const TICK_MS = 250;
@@ -444,6 +444,8 @@
   private supervise(rules: FleetRules): void {
     const { clock } = this.options;
     const nowMs = clock.monotonicMs();
+    this.health.refresh(nowMs);
+    this.rounds.noteWaiting(rules, this.unixMs());
     this.demand.update(rules, this.instanceProcessors(), this.processorsInUse());
     this.keeper.tick(rules);
     const leaving: string[] = [];
--- a/placement/placement_rounds.ts
+++ b/placement/placement_rounds.ts
@@ -52,11 +52,16 @@
 
   /** Plans all pools. `unixMs` is the time by which jobs fall due. */
   plan(rules: FleetRules, unixMs: number): void {
-    const { state, clock, demand } = this.options;
+    const { state, clock } = this.options;
     const nowMs = clock.monotonicMs();
     const byPool = collectCandidates({ state, rules, nowMs, unixMs });
     for (const [poolId, candidates] of byPool) this.planPool(poolId, candidates, rules, nowMs);
-    demand.noteWaiting(collectCandidates({ state, rules, nowMs, unixMs }));
+  }
+
+  /** Notes what still waits, for the sizes of the pools. */
+  noteWaiting(rules: FleetRules, unixMs: number): void {
+    const { state, clock, demand } = this.options;
+    demand.noteWaiting(collectCandidates({ state, rules, nowMs: clock.monotonicMs(), unixMs }));
   }
 
   /** Starts second runs of speculative tasks that take unusually long. */
@@ -104,8 +109,7 @@
   }
 
   private workersOf(poolId: string): readonly PlanWorker[] {
-    const { fleet, keeper, health, state, clock } = this.options;
-    const nowMs = clock.monotonicMs();
+    const { fleet, keeper, health, state } = this.options;
     const usable = [...fleet.all()].filter(
       (session) =>
         session.entry.poolId === poolId &&
@@ -113,7 +117,7 @@
         fleet.isListed(session.worker.workerId) &&
         !keeper.isClosing(session),
     );
-    const healthy = usable.filter(({ worker }) => !health.isSuspected(worker.workerId, nowMs));
+    const healthy = usable.filter(({ worker }) => !health.isSuspected(worker.workerId));
     // Where all workers are suspected, the fault is elsewhere.
     const isJudged = healthy.length > 0;
     return usable.map(({ entry, worker }) => ({
@@ -122,9 +126,7 @@
       labels: entry.labels,
       capacity: entry.capacity,
       free: subtractResources(entry.capacity, state.occupancy.onWorker(worker.workerId)),
-      tasksLeft: isJudged
-        ? health.tasksLeft(worker.workerId, state.runCountOn(worker.workerId), nowMs)
-        : Infinity,
+      tasksLeft: isJudged ? health.tasksLeft(worker.workerId, state.runCountOn(worker.workerId)) : Infinity,
     }));
   }
 
--- a/placement/worker_health.ts
+++ b/placement/worker_health.ts
@@ -22,17 +22,28 @@
  * @example
  * ```ts
  * health.note('w1', 'job1', true, nowMs);
- * health.tasksLeft('w1', 0, nowMs);
+ * health.refresh(nowMs);
+ * health.tasksLeft('w1', 0);
  * ```
  */
 export class WorkerHealth {
   private readonly results = new Map<string, readonly Result[]>();
+  private suspected: ReadonlySet<string> = new Set();
 
   note(workerId: string, jobId: string, isBad: boolean, nowMs: number): void {
     this.results.set(workerId, [...this.recent(workerId, nowMs), { atMs: nowMs, jobId, isBad }]);
   }
 
-  isSuspected(workerId: string, nowMs: number): boolean {
+  /** Judges all workers anew; called some times a second, since the judgement is asked for in every round. */
+  refresh(nowMs: number): void {
+    this.suspected = new Set([...this.results.keys()].filter((workerId) => this.judge(workerId, nowMs)));
+  }
+
+  isSuspected(workerId: string): boolean {
+    return this.suspected.has(workerId);
+  }
+
+  private judge(workerId: string, nowMs: number): boolean {
     const recent = this.recent(workerId, nowMs);
     const bad = recent.filter(({ isBad }) => isBad);
     const badJobs = new Set(bad.map(({ jobId }) => jobId)).size;
@@ -40,8 +51,8 @@
   }
 
   /** Tasks that a worker may get beside those that it runs. */
-  tasksLeft(workerId: string, runCount: number, nowMs: number): number {
-    if (!this.isSuspected(workerId, nowMs)) return Infinity;
+  tasksLeft(workerId: string, runCount: number): number {
+    if (!this.isSuspected(workerId)) return Infinity;
     return runCount === 0 ? 1 : 0;
   }
 
--- a/relay/relay_plugin.ts
+++ b/relay/relay_plugin.ts
@@ -13,11 +13,15 @@
 import { Plugin } from '../kernel/plugin';
 import { pluginRegistry } from '../kernel/plugin_registry';
 import { COUNTERS } from '../settings/base_capabilities';
+import { metricsText } from '../telemetry/metrics_text';
 import { ProcessDirectory } from './process_directory';
 import { RelayClient } from './relay_client';
 import { relayApp } from './relay_server';
 import { RelayedDesk } from './relayed_desk';
 
+/** Where counters are read; `metrics` in deploy/system.toml names the same path. */
+const METRICS_PATH = '/metrics';
+
 class RelayPlugin extends Plugin {
   override readonly name = 'relay';
   override readonly requires = ['wire', 'operator'];
@@ -61,6 +65,7 @@
   override async start(): Promise<void> {
     if (this.kernel === null) throw new Error('The plug-in is not set up.');
     const { clock } = this.kernel;
+    const counters = this.kernel.use(COUNTERS);
     const app = relayApp({
       clock,
       desk: new JobIntake({ store: this.kernel.use(ROW_STORE), clock }),
@@ -69,6 +74,7 @@
         this.takeOver(epoch);
       },
     });
+    app.get(METRICS_PATH, (context) => context.text(metricsText(counters)));
     await HttpServer.listen({ app, ...this.kernel.use(NODE_SETTINGS).internalAddress });
     this.directory?.start();
   }
--- a/scheduling/job_record.ts
+++ b/scheduling/job_record.ts
@@ -67,6 +67,7 @@
   private currentState: JobState;
   private openRuns = 0;
   private firstOpenOccurrence = 0;
+  private knownReady: readonly ReadyStep[] | null = null;
 
   constructor({ job, progress = NEW_JOB, maxAttempts }: JobRecordOptions) {
     this.job = job;
@@ -134,6 +135,13 @@
   /** Steps with waiting tasks whose turn has come; `nowMs` is Unix time. */
   readySteps(nowMs: number): readonly ReadyStep[] {
     if (isEnded(this.currentState)) return [];
+    if (this.job.definition.repeat !== null) return this.findReady(nowMs);
+    // Asked for in every round of placement, and only a change of a task changes the answer.
+    this.knownReady ??= this.findReady(nowMs);
+    return this.knownReady;
+  }
+
+  private findReady(nowMs: number): readonly ReadyStep[] {
     const ready: ReadyStep[] = [];
     const last = occurrenceCount(this.job.definition) - 1;
     for (let occurrence = this.firstOpenOccurrence; occurrence <= last; occurrence += 1) {
@@ -166,6 +174,7 @@
 
   /** Records that a run is about to be ordered. */
   addRun(id: Omit<TaskId, 'jobId'>, run: RunRecord): void {
+    this.knownReady = null;
     const task = this.task(id);
     this.tasks.set(taskKey(id), {
       ...task,
@@ -182,6 +191,7 @@
     const runs = task.runs.filter(({ run, workerId }) => run !== end.run || workerId !== end.workerId);
     if (runs.length === task.runs.length) return false;
     this.openRuns -= 1;
+    this.knownReady = null;
     this.tasks.set(taskKey(end.task), { ...task, runs });
     if (end.checkpoint !== '') this.keepCheckpoint(end.task, end.checkpoint);
     if (end.kind === 'done') this.markDone(end.task);
--- a/telemetry/logger.ts
+++ b/telemetry/logger.ts
@@ -2,6 +2,12 @@
 import pino, { type DestinationStream, type Logger as PinoLogger } from 'pino';
 import type { LogEvent } from './events_catalogue';
 
+/** Lines gathered before they are written, in bytes. */
+const BUFFER_BYTES = 8_192;
+
+/** Longest time for which a line is held back, in milliseconds. */
+const FLUSH_INTERVAL_MS = 500;
+
 export type LogFields = Readonly<Record<string, unknown>>;
 
 /** Writes one line per event; keys and tokens must never be passed as fields. */
@@ -14,6 +20,21 @@
     return new Logger(options.destination ? pino(config, options.destination) : pino(config));
   }
 
+  /**
+   * A logger on standard output that writes several lines at once. Each write
+   * costs processor time; what a killed process had not written is lost.
+   */
+  static buffered(options: { readonly level: string }): Logger {
+    const destination = pino.destination({ dest: 1, sync: true, minLength: BUFFER_BYTES });
+    setInterval(() => {
+      destination.flushSync();
+    }, FLUSH_INTERVAL_MS).unref();
+    process.once('exit', () => {
+      destination.flushSync();
+    });
+    return Logger.create({ ...options, destination });
+  }
+
   info(event: LogEvent, fields: LogFields = {}): void {
     this.sink.info({ eventId: event.id, ...fields }, event.name);
   }
