Count the runs of an instance by every worker that is a life of it

Reading found one that fits: an order for an instance counted as over when a list that had been read beside it showed the instance up, and its runs were counted by the worker that this list named. A new worker with tasks then counted as idle, and maintenance ended them.

Change: runs are counted by every known worker of the instance, and a list shows the effect of an order only if it was read a second after it.

--- a/placement/_placement_world.ts
+++ b/placement/_placement_world.ts
@@ -170,6 +170,12 @@
     return new JobIntake({ store: this.operator, clock: this.clock }).state(jobId);
   }
 
+  /** What the operator reads about a wave. */
+  async waveStatus(waveNumber: number): Promise<string | null> {
+    const address = { table: 'status', partition: '', key: `wave/${waveNumber}` };
+    return (await this.operator.readOne(address))?.value ?? null;
+  }
+
   process(name: string): WorldProcess {
     return new WorldProcess(this, name);
   }
--- a/placement/instance_directory.ts
+++ b/placement/instance_directory.ts
@@ -13,6 +13,13 @@
 /** After an order the list is read again this soon, in milliseconds. */
 const READ_SOON_MS = 250;
 
+/**
+ * A reading shows the effect of an order only if it began this long after the
+ * order was sent, in milliseconds: calls may overtake each other, and moves and
+ * maintenance take longer.
+ */
+const EFFECT_MS = 1_000;
+
 /** An order that the list has not shown for this long has had no effect or is over, in milliseconds. */
 const ORDER_LIMIT_MS = 6_000;
 
@@ -109,7 +116,7 @@
   private settlePending(readAtMs: number): void {
     for (const [instanceId, { sentAtMs }] of this.pending) {
       const isShownUp = this.instances.get(instanceId)?.state === 'up';
-      if (readAtMs > sentAtMs && (isShownUp || readAtMs - sentAtMs > ORDER_LIMIT_MS))
+      if (readAtMs - sentAtMs > EFFECT_MS && (isShownUp || readAtMs - sentAtMs > ORDER_LIMIT_MS))
         this.pending.delete(instanceId);
     }
   }
--- a/placement/instance_keeper.ts
+++ b/placement/instance_keeper.ts
@@ -210,11 +210,18 @@
     };
   }
 
+  /**
+   * Runs on an instance by every worker that is known to be a life of it. The
+   * list may still name the worker before a move, which runs nothing any more.
+   */
   private runCount(instanceId: string): number {
-    const workerId = this.directory.get(instanceId)?.workerId ?? '';
-    if (workerId === '') return 0;
-    const session = this.options.fleet.get(workerId);
-    return Math.max(this.options.state.runCountOn(workerId), session?.activeRuns().length ?? 0);
+    const { fleet, state } = this.options;
+    let count = state.runCountOn(this.directory.get(instanceId)?.workerId ?? '');
+    for (const session of fleet.all()) {
+      if (session.entry.instanceId !== instanceId) continue;
+      count += Math.max(state.runCountOn(session.worker.workerId), session.activeRuns().length);
+    }
+    return count;
   }
 
   private mustWait(instanceId: string): boolean {
