Serve open connections for a while before a server closes them

Cause: closing a server destroys idle connections and resets those that wait to be accepted. A request that is on its way on one of them gets ECONNRESET, which a starved process shows often: the grace before the close passes before what has arrived is read.

Change: a server that stops ends each connection with its next answer, and serves on until all callers have left, 1 s at most, before it closes. The scheduler does so during the balancer's grace.

--- a/callers/callers_plugin.ts
+++ b/callers/callers_plugin.ts
@@ -44,6 +44,7 @@
     if (this.kernel === null || this.servers.length === 0) return;
     this.isLeaving = true;
     const { stopGraceMs } = this.kernel.use(NODE_SETTINGS);
+    for (const server of this.servers) server.leave();
     await this.kernel.clock.delay(BALANCER_GRACE_MS);
     const closed = Promise.all(this.servers.map((server) => server.close()));
     await Promise.race([closed, this.kernel.clock.delay(stopGraceMs - BALANCER_GRACE_MS - EXIT_MARGIN_MS)]);
--- a/entry/entry_plugin.ts
+++ b/entry/entry_plugin.ts
@@ -76,8 +76,11 @@
     const kernel = this.required();
     this.readiness.set(false);
     kernel.use(LOGGER).info(LOG_EVENTS.stopping);
+    for (const server of this.servers) server.leave();
     // The balancer goes on sending requests until it has seen that the instance is not ready.
     await kernel.clock.delay(kernel.use(SETTINGS).balancerGraceMs);
+    const [callers] = this.servers;
+    await callers?.linger();
     await kernel.use(REQUEST_FLOW).close();
     await Promise.all(this.servers.map((server) => server.close()));
   }
