Size pools by the spread of lasting steps and by every resource

Cause: the wanted size of a pool follows processors alone. A lasting step of 24 tasks of which one may run on a worker needs 24 instances; the pool kept 3, and 21 tasks waited for ever while the log showed 57 waiting processors of 96.

Change: a pool keeps at least as many instances as its lasting steps need for their spread, and follows whichever resource runs out first.

--- a/placement/placement_holder.ts
+++ b/placement/placement_holder.ts
@@ -1,5 +1,6 @@
 /** Acts as the holder of the placement role: from its acquisition until it is lost or given back. */
 import type { Clock, Timer } from '../kernel/clock';
+import { addResources, combineResources, NO_RESOURCES, type Resources } from '../model/resources';
 import type { FleetRules } from '../scheduling/fleet_rules';
 import type { InstanceOperations } from '../scheduling/instance_operations';
 import { isEnded, type JobProgress } from '../scheduling/job_progress';
@@ -446,7 +447,7 @@
     const nowMs = clock.monotonicMs();
     this.health.refresh(nowMs);
     this.rounds.noteWaiting(rules, this.unixMs());
-    this.demand.update(rules, this.instanceProcessors(), this.processorsInUse());
+    this.demand.update(rules, this.meanCapacity(), this.resourcesInUse());
     this.keeper.tick(rules);
     const leaving: string[] = [];
     for (const session of this.fleet.all()) {
@@ -475,19 +476,22 @@
     }
   }
 
-  private processorsInUse(): ReadonlyMap<string, number> {
-    const used = new Map<string, number>();
+  /** What runs on each pool, by the records. */
+  private resourcesInUse(): ReadonlyMap<string, Resources> {
+    const used = new Map<string, Resources>();
     for (const { entry, worker } of this.fleet.all()) {
-      const { processors } = this.state.occupancy.onWorker(worker.workerId);
-      used.set(entry.poolId, (used.get(entry.poolId) ?? 0) + processors);
+      const here = this.state.occupancy.onWorker(worker.workerId);
+      used.set(entry.poolId, addResources(used.get(entry.poolId) ?? NO_RESOURCES, here));
     }
     return used;
   }
 
   /** What one instance offers, on average. */
-  private instanceProcessors(): number {
-    const capacities = [...this.fleet.all()].map(({ entry }) => entry.capacity.processors);
-    return capacities.reduce((sum, processors) => sum + processors, 0) / Math.max(1, capacities.length);
+  private meanCapacity(): Resources {
+    const capacities = [...this.fleet.all()].map(({ entry }) => entry.capacity);
+    const total = capacities.reduce(addResources, NO_RESOURCES);
+    const mean = (sum: number): number => sum / Math.max(1, capacities.length);
+    return combineResources(total, NO_RESOURCES, mean);
   }
 
   /** Unix time by the workers' clocks, which do not follow jumps of this machine's time of day. */
@@ -506,15 +510,15 @@
     const rules = this.options.rules();
     if (rules === null || nowMs - this.summaryAtMs < SUMMARY_INTERVAL_MS) return;
     this.summaryAtMs = nowMs;
-    const used = this.processorsInUse();
+    const used = this.resourcesInUse();
     const pools = [...rules.pools.values()]
       .filter(({ spare }) => !spare)
       .map(({ poolId }) => ({
         poolId,
         usable: [...this.fleet.all()].filter(({ entry }) => entry.poolId === poolId).length,
         wanted: this.demand.wanted(poolId),
-        used: Math.round(used.get(poolId) ?? 0),
-        waiting: Math.round(this.demand.waitingProcessors(poolId)),
+        used: Math.round(used.get(poolId)?.processors ?? 0),
+        waiting: Math.round(this.demand.waitingIn(poolId).processors),
       }));
     const teams = [...rules.teams.values()].map(({ teamId, upperLimit }) => [
       teamId,
--- a/placement/pool_demand.ts
+++ b/placement/pool_demand.ts
@@ -1,7 +1,9 @@
 /** Turns what runs, waits and arrives into the number of instances that each pool should have. */
 import type { Clock } from '../kernel/clock';
+import { addResources, dominantShare, NO_RESOURCES, type Resources } from '../model/resources';
 import type { FleetRules } from '../scheduling/fleet_rules';
-import { occupiedBy } from '../scheduling/job_definition';
+import { isLongRunning, occupiedBy } from '../scheduling/job_definition';
+import { isEnded } from '../scheduling/job_progress';
 import type { PlacementState } from './placement_state';
 import type { Candidate } from './plan_request';
 import { DemandMeter } from './demand_meter';
@@ -34,7 +36,7 @@
   private readonly meters = new Map<string, DemandMeter>();
   /** Wishes of the last {@link SHRINK_AFTER_MS}, by pool. */
   private readonly wishes = new Map<string, readonly Wish[]>();
-  private readonly waiting = new Map<string, number>();
+  private readonly waiting = new Map<string, Resources>();
 
   constructor(private readonly options: PoolDemandOptions) {}
 
@@ -51,33 +53,49 @@
   noteWaiting(byPool: ReadonlyMap<string, readonly Candidate[]>): void {
     this.waiting.clear();
     for (const [poolId, candidates] of byPool) {
-      const processors = candidates
-        .filter(({ slackMs, isLongRunning }) => isLongRunning || slackMs > HOPELESS_MS)
-        .reduce((sum, { ready }) => sum + ready.waiting.length * occupiedBy(ready.definition).processors, 0);
-      this.waiting.set(poolId, processors);
+      const demands = candidates
+        .filter(({ slackMs, isLongRunning: lasts }) => lasts || slackMs > HOPELESS_MS)
+        .map(({ ready }) => multiply(occupiedBy(ready.definition), ready.waiting.length));
+      this.waiting.set(poolId, demands.reduce(addResources, NO_RESOURCES));
     }
   }
 
-  /** Processors that waiting steps of a pool ask for, without those that are hopelessly late. */
-  waitingProcessors(poolId: string): number {
-    return this.waiting.get(poolId) ?? 0;
+  /** What waiting steps of a pool ask for, without those that are hopelessly late. */
+  waitingIn(poolId: string): Resources {
+    return this.waiting.get(poolId) ?? NO_RESOURCES;
   }
 
-  /** Decides the sizes anew. `processorsOf` says what one instance of the pool offers, `used` what runs on the pool. */
-  update(rules: FleetRules, instanceProcessors: number, used: ReadonlyMap<string, number>): void {
+  /** Decides the sizes anew. `instance` says what one instance offers, `used` what runs on each pool. */
+  update(rules: FleetRules, instance: Resources, used: ReadonlyMap<string, Resources>): void {
     const nowMs = this.options.clock.monotonicMs();
+    const spread = this.spreadByPool(rules);
     for (const { poolId, spare } of rules.pools.values()) {
       if (spare) continue;
       const arriving = this.meters.get(poolId)?.arrivingProcessors(nowMs) ?? 0;
-      const demand = Math.max((used.get(poolId) ?? 0) + (this.waiting.get(poolId) ?? 0), arriving);
-      const wanted = Math.max(
-        MIN_INSTANCES,
-        Math.ceil((demand * (1 + HEADROOM)) / Math.max(1, instanceProcessors)),
-      );
-      this.track(poolId, wanted, nowMs);
+      const present = addResources(used.get(poolId) ?? NO_RESOURCES, this.waitingIn(poolId));
+      const instances = Math.max(dominantShare(present, instance), arriving / instance.processors);
+      // Infinite or not a number for what no instance offers, and before any worker is known.
+      const wanted = Number.isFinite(instances) ? Math.ceil(instances * (1 + HEADROOM)) : 0;
+      this.track(poolId, Math.max(MIN_INSTANCES, spread.get(poolId) ?? 0, wanted), nowMs);
     }
   }
 
+  /** Instances that lasting steps need because only so many of their tasks may share a worker, by pool. */
+  private spreadByPool(rules: FleetRules): ReadonlyMap<string, number> {
+    const spread = new Map<string, number>();
+    for (const { record } of this.options.state.book.jobs()) {
+      const { definition, queueId } = record.job;
+      const poolId = rules.queues.get(queueId)?.poolId;
+      if (poolId === undefined || isEnded(record.state) || !isLongRunning(definition)) continue;
+      for (const { taskCount, maxPerWorker } of definition.steps) {
+        if (maxPerWorker === null) continue;
+        const needed = Math.ceil(taskCount / Math.max(1, maxPerWorker));
+        spread.set(poolId, Math.max(spread.get(poolId) ?? 0, needed));
+      }
+    }
+    return spread;
+  }
+
   /** Instances that the pool should have: the most that it has wanted lately. */
   wanted(poolId: string): number {
     return Math.max(0, ...(this.wishes.get(poolId) ?? []).map(({ instances }) => instances));
@@ -88,3 +106,11 @@
     this.wishes.set(poolId, [...recent, { atMs: nowMs, instances }]);
   }
 }
+
+function multiply({ processors, memoryBytes, accelerators }: Resources, count: number): Resources {
+  return {
+    processors: processors * count,
+    memoryBytes: memoryBytes * count,
+    accelerators: accelerators * count,
+  };
+}
--- /dev/null
+++ b/placement/pool_demand_test.ts
@@ -0,0 +1,55 @@
+/** Guards against pools that are too small for what has to run in them, whatever their processors suggest. */
+import { VirtualClock } from '../kernel/virtual_clock';
+import { NO_RESOURCES, type Resources } from '../model/resources';
+import type { FleetRules } from '../scheduling/fleet_rules';
+import type { StepDefinition } from '../scheduling/job_definition';
+import { MemoryCounters } from '../telemetry/counters';
+import { QUEUE, STEP } from './_placement_world';
+import type { PlacementJournal } from './placement_journal';
+import { PlacementState } from './placement_state';
+import { PoolDemandTracker } from './pool_demand';
+
+const INSTANCE: Resources = { processors: 32, memoryBytes: 128, accelerators: 0 };
+
+const RULES: FleetRules = {
+  version: 1,
+  queues: new Map([[QUEUE.queueId, QUEUE]]),
+  teamByKey: new Map(),
+  teams: new Map(),
+  pools: new Map([[QUEUE.poolId, { poolId: QUEUE.poolId, spare: false }]]),
+  maxBodyBytes: 1_000,
+};
+
+function trackerWith(step: Partial<StepDefinition>): PoolDemandTracker {
+  const clock = new VirtualClock();
+  const journal = { stage: () => undefined } as unknown as PlacementJournal;
+  const state = new PlacementState({ clock, journal, counters: new MemoryCounters(), rules: () => RULES });
+  const definition = { spec: '', steps: [{ ...STEP, ...step }], repeat: null };
+  state.book.add(
+    { jobId: 'a'.repeat(16), queueId: QUEUE.queueId, teamId: null, acceptedAtMs: 0, definition },
+    undefined,
+    0,
+  );
+  return new PoolDemandTracker({ clock, state });
+}
+
+describe('the wanted size of a pool', () => {
+  test('leaves each task of a lasting step a worker of its own where the step asks for that', () => {
+    const tracker = trackerWith({ taskCount: 24, maxPerWorker: 1, isLongRunning: true });
+    tracker.update(RULES, INSTANCE, new Map());
+    expect(tracker.wanted(QUEUE.poolId)).toBe(24);
+  });
+
+  test('follows memory where memory is what runs out', () => {
+    const tracker = trackerWith({});
+    const used = { processors: 8, memoryBytes: 10 * INSTANCE.memoryBytes, accelerators: 0 };
+    tracker.update(RULES, INSTANCE, new Map([[QUEUE.poolId, used]]));
+    expect(tracker.wanted(QUEUE.poolId)).toBeGreaterThanOrEqual(10);
+  });
+
+  test('stays finite before any worker is known', () => {
+    const tracker = trackerWith({});
+    tracker.update(RULES, NO_RESOURCES, new Map([[QUEUE.poolId, INSTANCE]]));
+    expect(tracker.wanted(QUEUE.poolId)).toBeLessThan(10);
+  });
+});
