Explain requests from logs, check settings files and show the store's status

Cause: an operator of the scheduler had to grep logs by hand, learned of a bad settings file only when a process ended, and could not see who places without reading rows.

They need no entry instance.

--- a/cli/command_line.ts
+++ b/cli/command_line.ts
@@ -14,7 +14,15 @@
   | { readonly kind: 'show_ticket'; readonly number: number }
   | { readonly kind: 'list_tickets' }
   | { readonly kind: 'status' }
-  | { readonly kind: 'list'; readonly listing: Listing };
+  | { readonly kind: 'list'; readonly listing: Listing }
+  | LocalCommand;
+
+/** A command that needs no entry instance. */
+export type LocalCommand =
+  | { readonly kind: 'check_settings'; readonly file: string }
+  | { readonly kind: 'print_settings'; readonly file: string }
+  | { readonly kind: 'explain'; readonly requestId: string; readonly files: readonly string[] }
+  | { readonly kind: 'store_status'; readonly storeAddress: string };
 
 export interface CommandLine {
   readonly command: Command;
@@ -35,20 +43,26 @@
   apply FILE          apply the change ticket in FILE ("-" reads standard input)
   ticket show NUMBER  show an accepted ticket
   ticket list         list accepted tickets
-  status              show the state of one entry instance
+  status              show the state of one entry instance; with --store, what the
+                      platform's store says: holder, pools, queues, waves, jobs
   ${LISTINGS.join(' | ')}
                       list configured objects and their state
+  check-settings FILE name every unusable field of a scheduler's settings file
+  print-settings FILE show the settings that a scheduler would use
+  explain ID LOG...   print the decisions on a request from log files, in order
 
 Flags
   --dry-run           with apply: show what would change and change nothing
   --json              print JSON
   --url URL           operators API of an entry instance; may be repeated
                       (ENDIVESTAND_URL, separated by commas)
+  --store HOST:PORT   with status: the platform's store
   --operator-token T  token of the operators API (ENDIVESTAND_OPERATOR_TOKEN)
   --help              print this text
 
-Exit codes: 0 done, 1 refused, 2 wrong usage, 3 no entry instance answered
-(a ticket may then have been accepted: apply it again with the same number).
+Exit codes: 0 done, 1 refused, unusable settings or an unknown request, 2 wrong
+usage, 3 no entry instance or no store answered (a ticket may then have been
+accepted: apply it again with the same number).
 `;
 
 /**
@@ -68,7 +82,8 @@
   const token = values['operator-token'] ?? environment[environmentName('operator-token')] ?? '';
   const json = values.json ?? false;
   if (values.help === true) return { command: { kind: 'help' }, urls, token, json };
-  const command = parseCommand(positionals, values['dry-run'] ?? false);
+  const command = parseCommand(positionals, { dryRun: values['dry-run'] ?? false, store: values.store });
+  if (isLocal(command)) return { command, urls, token, json };
   if (urls.length === 0) throw new UsageError('Name an entry instance with --url or ENDIVESTAND_URL.');
   if (token === '')
     throw new UsageError('Give the token with --operator-token or ENDIVESTAND_OPERATOR_TOKEN.');
@@ -85,6 +100,7 @@
         json: { type: 'boolean' },
         url: { type: 'string', multiple: true },
         'operator-token': { type: 'string' },
+        store: { type: 'string' },
         help: { type: 'boolean' },
       },
     });
@@ -93,11 +109,22 @@
   }
 }
 
-function parseCommand(words: readonly string[], dryRun: boolean): Command {
+interface CommandFlags {
+  readonly dryRun: boolean;
+  readonly store: string | undefined;
+}
+
+function parseCommand(words: readonly string[], { dryRun, store }: CommandFlags): Command {
   const [first, second, third] = words;
+  if (store !== undefined) {
+    if (first !== 'status' || words.length !== 1) throw new UsageError('--store goes with status.');
+    return { kind: 'store_status', storeAddress: store };
+  }
   if (first === 'apply' && second !== undefined && words.length === 2)
     return { kind: 'apply', file: second, dryRun };
   if (dryRun) throw new UsageError('--dry-run goes with apply.');
+  const local = parseLocal(words);
+  if (local !== null) return local;
   if (first === 'ticket' && second === 'list' && words.length === 2) return { kind: 'list_tickets' };
   if (first === 'ticket' && second === 'show' && words.length === 3) {
     return { kind: 'show_ticket', number: parseNumber(third) };
@@ -108,6 +135,19 @@
   throw new UsageError(words.length === 0 ? 'Name a command.' : `"${words.join(' ')}" is not a command.`);
 }
 
+function parseLocal(words: readonly string[]): LocalCommand | null {
+  const [first, second, ...files] = words;
+  if (second === undefined) return null;
+  if (first === 'check-settings' && files.length === 0) return { kind: 'check_settings', file: second };
+  if (first === 'print-settings' && files.length === 0) return { kind: 'print_settings', file: second };
+  return first === 'explain' && files.length > 0 ? { kind: 'explain', requestId: second, files } : null;
+}
+
+/** Whether a command needs no entry instance. */
+export function isLocal(command: Command): command is LocalCommand {
+  return ['check_settings', 'print_settings', 'explain', 'store_status'].includes(command.kind);
+}
+
 function parseNumber(word: string | undefined): number {
   const number = Number(word);
   if (Number.isSafeInteger(number) && number > 0) return number;
--- a/cli/endivestand_main.ts
+++ b/cli/endivestand_main.ts
@@ -2,9 +2,11 @@
 /** Operator command. */
 import { readFile } from 'node:fs/promises';
 import { text } from 'node:stream/consumers';
-import { parseCommandLine, USAGE, UsageError } from './command_line';
+import { StoreUnavailableError } from '../store/row_store';
+import { isLocal, parseCommandLine, USAGE, UsageError } from './command_line';
 import { OperatorClient, UnreachableError } from './operator_client';
 import { runCommand } from './run_command';
+import { runLocalCommand } from './run_local_command';
 
 const EXIT_REFUSED = 1;
 const EXIT_USAGE = 2;
@@ -13,21 +15,21 @@
 async function main(): Promise<string> {
   const { command, urls, token, json } = parseCommandLine(process.argv.slice(2), process.env);
   if (command.kind === 'help') return USAGE;
-  return runCommand(command, {
-    client: new OperatorClient({ urls, token }),
-    json,
-    readFile: (path) => (path === '-' ? text(process.stdin) : readFile(path, 'utf8')),
-  });
+  const read = (path: string): Promise<string> =>
+    path === '-' ? text(process.stdin) : readFile(path, 'utf8');
+  if (isLocal(command)) return runLocalCommand(command, { json, readFile: read });
+  return runCommand(command, { client: new OperatorClient({ urls, token }), json, readFile: read });
 }
 
 function exitCodeOf(error: unknown): number {
   if (error instanceof UsageError) return EXIT_USAGE;
-  return error instanceof UnreachableError ? EXIT_UNREACHABLE : EXIT_REFUSED;
+  const isUnreachable = error instanceof UnreachableError || error instanceof StoreUnavailableError;
+  return isUnreachable ? EXIT_UNREACHABLE : EXIT_REFUSED;
 }
 
 main().then(
   (output) => {
-    process.stdout.write(output);
+    process.stdout.write(output, () => process.exit());
   },
   (error: unknown) => {
     process.stderr.write(`${error instanceof Error ? error.message : String(error)}\n`);
--- a/cli/run_command.ts
+++ b/cli/run_command.ts
@@ -1,6 +1,6 @@
 /** Carries out one operator command. */
 import { match } from 'ts-pattern';
-import type { Command } from './command_line';
+import type { Command, LocalCommand } from './command_line';
 import type { OperatorClient } from './operator_client';
 import { renderFields, renderTable } from './render';
 
@@ -12,7 +12,7 @@
 
 /** Resolves with the text to print. Throws `OperatorRefusedError` or `UnreachableError`. */
 export async function runCommand(
-  command: Exclude<Command, { kind: 'help' }>,
+  command: Exclude<Command, LocalCommand | { kind: 'help' }>,
   options: RunCommandOptions,
 ): Promise<string> {
   const { client } = options;
--- /dev/null
+++ b/cli/store_status_test.ts
@@ -0,0 +1,91 @@
+/** Guards against a status that hides who places, or that guesses at rows it cannot read. */
+import { encodeLease, LEASE_ADDRESS } from '../placement/lease_row';
+import { encodeQueueStatus, queueStatusAddress } from '../placement/queue_status';
+import { encodeWaveProgress, waveAddress } from '../placement/wave_rows';
+import { encodeProgress, jobAddress, progressAddress, RowFormatError } from '../scheduling/job_rows';
+import { PlatformRows, UnusableRowError, type OperatorRow } from '../scheduling/platform_rows';
+import type { WorkerEntry } from '../scheduling/worker_entry';
+import { fakeEntry, QUEUE } from '../placement/_placement_world';
+import { MemoryRows, MemoryRowStore } from '../store/memory_row_store';
+import type { RowAddress, RowWrite } from '../store/row_store';
+import { VirtualClock } from '../kernel/virtual_clock';
+import { readStoreStatus, renderStoreStatus } from './store_status';
+
+const OPERATOR_ROW = { table: 'op', partition: '', key: 'rules' };
+
+class PlainRows extends PlatformRows {
+  override readonly operatorTable = 'op';
+  override readonly workerTable = 'workers';
+  override readonly partition = '';
+
+  override decodeOperatorRow(): OperatorRow {
+    return {
+      kind: 'rules',
+      rules: {
+        version: 7,
+        queues: new Map([[QUEUE.queueId, QUEUE]]),
+        pools: new Map([['p', { poolId: 'p', spare: false }]]),
+        teams: new Map(),
+        teamByKey: new Map(),
+        maxBodyBytes: 1,
+      },
+    };
+  }
+
+  override decodeWorkerEntry(workerId: string, value: string): WorkerEntry {
+    if (value === 'garbage') throw new UnusableRowError('The entry is garbage.');
+    return fakeEntry(workerId);
+  }
+
+  override encodeWaveStatus(): RowWrite {
+    throw new Error('The status writes nothing.');
+  }
+}
+
+async function statusOf(rows: readonly (RowAddress & { readonly value: string })[]) {
+  const store = new MemoryRowStore(new MemoryRows(), new VirtualClock());
+  for (const row of rows) await store.transact({ conditions: [], writes: [row] });
+  return readStoreStatus({ store, rows: new PlainRows() });
+}
+
+describe('the status of the store', () => {
+  test('names the holder, pools, queues, waves and jobs', async () => {
+    const status = await statusOf([
+      {
+        ...LEASE_ADDRESS,
+        value: encodeLease({ nodeName: 'front-1', processId: 'x', epoch: 4, sequence: 9 }),
+      },
+      { ...OPERATOR_ROW, value: '{}' },
+      { table: 'workers', partition: '', key: 'w1', value: '{}' },
+      { table: 'workers', partition: '', key: 'w2', value: 'garbage' },
+      { ...queueStatusAddress('q'), value: encodeQueueStatus({ pending: 3 }) },
+      {
+        ...waveAddress(5),
+        value: encodeWaveProgress({ begun: ['m1'], isCompleted: false, orderedAtMs: 1 }),
+      },
+      { ...progressAddress('a'), value: encodeProgress({ state: 'running', tasks: new Map() }) },
+      { ...jobAddress('a'), value: '{}' },
+      { ...jobAddress('b'), value: '{}' },
+    ]);
+    expect(status).toEqual({
+      holder: 'front-1',
+      epoch: 4,
+      rulesVersion: 7,
+      jobsByState: { queued: 1, running: 1, completed: 0, failed: 0, cancelled: 0 },
+      pools: [{ poolId: 'p', spare: false, workers: 1 }],
+      queues: [{ queueId: 'q', poolId: 'p', pending: 3 }],
+      waves: [{ wave: '5', begun: 1, isCompleted: false }],
+    });
+    expect(renderStoreStatus(status)).toContain('front-1');
+  });
+
+  test('says that nobody places after the role was given back', async () => {
+    const given = { nodeName: '', processId: '', epoch: 4, sequence: 9 };
+    expect(await statusOf([{ ...LEASE_ADDRESS, value: encodeLease(given) }])).toMatchObject({ holder: null });
+  });
+
+  test('fails on a row of a later version instead of counting it wrongly', async () => {
+    const later = JSON.stringify({ encoding: 2, state: 'paused' });
+    await expect(statusOf([{ ...progressAddress('a'), value: later }])).rejects.toThrow(RowFormatError);
+  });
+});
