Remove the rows of jobs that ended long ago, and log unusual ends of runs

Cause: rows of accepted jobs and their progress were never removed, so that the tables and the memory of the holder grew without end; the retention that the settings name was read and not used.

Reports of the holder are in a file of their own.

--- a/placement/_placement_world.ts
+++ b/placement/_placement_world.ts
@@ -114,6 +114,9 @@
 
 const ROLE_LEASE_MS = 3_000;
 
+/** How long the states of ended jobs are promised to stay, in milliseconds. */
+export const RETENTION_MS = 20_000;
+
 export class PlacementWorld {
   readonly clock = new VirtualClock();
   readonly rows = new MemoryRows();
@@ -232,6 +235,7 @@
       lease,
       leaseMs: ROLE_LEASE_MS,
       maxWorkerLeaseMs: FAKE_LEASE_MS,
+      retentionMs: RETENTION_MS,
       instanceOrdersAfterMs: 0,
       counters: this.counters,
       logger: Logger.create({ level: 'silent' }),
--- /dev/null
+++ b/placement/holder_reports.ts
@@ -0,0 +1,94 @@
+/** What the holder tells others about itself: the counts of pending jobs, and the state of the pools in the log. */
+import type { Clock } from '../kernel/clock';
+import { addResources, combineResources, NO_RESOURCES, type Resources } from '../model/resources';
+import type { FleetRules } from '../scheduling/fleet_rules';
+import { LOG_EVENTS } from '../telemetry/events_catalogue';
+import type { Logger } from '../telemetry/logger';
+import type { PlacementJournal } from './placement_journal';
+import type { PlacementState } from './placement_state';
+import type { PoolDemandTracker } from './pool_demand';
+import { encodeQueueStatus, queueStatusAddress } from './queue_status';
+import type { WorkerFleet } from './worker_fleet';
+
+/** How often the counts of pending jobs are written, in milliseconds; they may be 2 s old. */
+const QUEUE_STATUS_INTERVAL_MS = 750;
+
+/** How often the state of the pools is logged, in milliseconds. */
+const SUMMARY_INTERVAL_MS = 1_000;
+
+export interface HolderReportsOptions {
+  readonly clock: Clock;
+  readonly journal: PlacementJournal;
+  readonly state: PlacementState;
+  readonly fleet: WorkerFleet;
+  readonly demand: PoolDemandTracker;
+  readonly rules: () => FleetRules | null;
+  readonly logger: Logger;
+}
+
+export class HolderReports {
+  private readonly writtenPending = new Map<string, number>();
+  private queueStatusAtMs = 0;
+  private summaryAtMs = 0;
+
+  constructor(private readonly options: HolderReportsOptions) {}
+
+  /** Writes what is due; called several times a second. */
+  tick(): void {
+    this.writeQueueStatus();
+    this.logSummary();
+  }
+
+  private logSummary(): void {
+    const { clock, demand, fleet, state, logger } = this.options;
+    const nowMs = clock.monotonicMs();
+    const rules = this.options.rules();
+    if (rules === null || nowMs - this.summaryAtMs < SUMMARY_INTERVAL_MS) return;
+    this.summaryAtMs = nowMs;
+    const used = resourcesInUse(fleet, state);
+    const pools = [...rules.pools.values()]
+      .filter(({ spare }) => !spare)
+      .map(({ poolId }) => ({
+        poolId,
+        usable: [...fleet.all()].filter(({ entry }) => entry.poolId === poolId).length,
+        wanted: demand.wanted(poolId),
+        used: Math.round(used.get(poolId)?.processors ?? 0),
+        waiting: Math.round(demand.waitingIn(poolId).processors),
+      }));
+    const teams = [...rules.teams.values()].map(({ teamId, upperLimit }) => [
+      teamId,
+      Math.round(state.occupancy.ofTeam(teamId).processors),
+      Math.round(upperLimit.processors),
+    ]);
+    logger.info(LOG_EVENTS.poolSummary, { pools, teams });
+  }
+
+  private writeQueueStatus(): void {
+    const { clock, journal, state } = this.options;
+    const nowMs = clock.monotonicMs();
+    if (nowMs - this.queueStatusAtMs < QUEUE_STATUS_INTERVAL_MS) return;
+    this.queueStatusAtMs = nowMs;
+    for (const [queueId, pending] of state.book.pendingByQueue()) {
+      if (this.writtenPending.get(queueId) === pending) continue;
+      this.writtenPending.set(queueId, pending);
+      journal.stage({ ...queueStatusAddress(queueId), value: encodeQueueStatus({ pending }) });
+    }
+  }
+}
+
+/** What runs on each pool, by the records. */
+export function resourcesInUse(fleet: WorkerFleet, state: PlacementState): ReadonlyMap<string, Resources> {
+  const used = new Map<string, Resources>();
+  for (const { entry, worker } of fleet.all()) {
+    const here = state.occupancy.onWorker(worker.workerId);
+    used.set(entry.poolId, addResources(used.get(entry.poolId) ?? NO_RESOURCES, here));
+  }
+  return used;
+}
+
+/** What one instance offers, on average. */
+export function meanCapacity(fleet: WorkerFleet): Resources {
+  const capacities = [...fleet.all()].map(({ entry }) => entry.capacity);
+  const total = capacities.reduce(addResources, NO_RESOURCES);
+  return combineResources(total, NO_RESOURCES, (sum) => sum / Math.max(1, capacities.length));
+}
--- a/placement/job_book.ts
+++ b/placement/job_book.ts
@@ -1,4 +1,5 @@
 /** The open jobs as the holder of the placement role knows them. */
+import type { Clock } from '../kernel/clock';
 import type { AcceptedJob } from '../scheduling/job_definition';
 import { JobRecord } from '../scheduling/job_record';
 import { isEnded, type JobProgress } from '../scheduling/job_progress';
@@ -12,24 +13,30 @@
   readonly serial: number;
 }
 
+export interface JobBookOptions {
+  readonly clock: Clock;
+  readonly maxAttempts: (queueId: string) => number;
+}
+
 /** Keeps open jobs by queue and remembers which ones have ended. */
 export class JobBook {
   private readonly open = new Map<string, OpenJob>();
-  private readonly ended = new Set<string>();
+  /** When each ended job was found to have ended, on the steady clock; the oldest first. */
+  private readonly ended = new Map<string, number>();
   private serial = 0;
 
-  constructor(private readonly maxAttempts: (queueId: string) => number) {}
+  constructor(private readonly options: JobBookOptions) {}
 
   /** Adds a job unless it is known. Returns the job if it is new and open. */
   add(job: AcceptedJob, progress: JobProgress | undefined, acceptedAtMs: number): OpenJob | null {
-    if (this.open.has(job.jobId) || this.ended.has(job.jobId)) return null;
+    if (this.knows(job.jobId)) return null;
     const record = new JobRecord({
       job,
-      maxAttempts: () => this.maxAttempts(job.queueId),
+      maxAttempts: () => this.options.maxAttempts(job.queueId),
       ...(progress === undefined ? {} : { progress }),
     });
     if (record.isSettled()) {
-      this.ended.add(job.jobId);
+      this.noteEnd(job.jobId);
       return null;
     }
     this.serial += 1;
@@ -45,7 +52,21 @@
   /** Drops a job that has ended and of which nothing runs. */
   settle(jobId: string): void {
     this.open.delete(jobId);
-    this.ended.add(jobId);
+    this.noteEnd(jobId);
+  }
+
+  knows(jobId: string): boolean {
+    return this.open.has(jobId) || this.ended.has(jobId);
+  }
+
+  /** Jobs that ended before a moment of the steady clock, the oldest first. */
+  endedBefore(beforeMs: number, limit: number): readonly string[] {
+    const found: string[] = [];
+    for (const [jobId, endedAtMs] of this.ended) {
+      if (endedAtMs >= beforeMs || found.length >= limit) break;
+      found.push(jobId);
+    }
+    return found;
   }
 
   /** Forgets that a job has ended, after its rows have been removed. */
@@ -67,4 +88,8 @@
     }
     return counts;
   }
+
+  private noteEnd(jobId: string): void {
+    this.ended.set(jobId, this.options.clock.monotonicMs());
+  }
 }
--- a/placement/placement_holder.ts
+++ b/placement/placement_holder.ts
@@ -1,6 +1,5 @@
 /** Acts as the holder of the placement role: from its acquisition until it is lost or given back. */
 import type { Clock, Timer } from '../kernel/clock';
-import { addResources, combineResources, NO_RESOURCES, type Resources } from '../model/resources';
 import type { FleetRules } from '../scheduling/fleet_rules';
 import type { InstanceOperations } from '../scheduling/instance_operations';
 import { isEnded, type JobProgress } from '../scheduling/job_progress';
@@ -13,6 +12,7 @@
   JOB_TABLE,
   PLACEMENT_PARTITION,
   PROGRESS_TABLE,
+  progressAddress,
 } from '../scheduling/job_rows';
 import { UnusableRowError, type PlatformRows } from '../scheduling/platform_rows';
 import type { PlacementAdvice } from '../scheduling/placement_advice';
@@ -33,10 +33,11 @@
 import { isStuck, seenRuns } from './run_supervisor';
 import { WorkerHealth } from './worker_health';
 import { AdviceBook } from './advice_book';
+import { EndedJobSweep } from './ended_job_sweep';
 import { evacuate } from './evacuation';
+import { HolderReports, meanCapacity, resourcesInUse } from './holder_reports';
 import { InstanceKeeper } from './instance_keeper';
 import { controlPace } from './pace_control';
-import { queueStatusAddress, encodeQueueStatus } from './queue_status';
 import { WorkerFleet } from './worker_fleet';
 import { SessionListener, type HeardEnd, type SessionRun, type WorkerSession } from './worker_session';
 
@@ -53,11 +54,8 @@
 /** How often work that depends on time alone is looked at, in milliseconds. */
 const TICK_MS = 250;
 
-/** How often the counts of pending jobs are written, in milliseconds; they may be 2 s old. */
-const QUEUE_STATUS_INTERVAL_MS = 750;
-
-/** How often the state of the pools is logged, in milliseconds. */
-const SUMMARY_INTERVAL_MS = 1_000;
+/** A run that takes this many times its expected time is logged, so that slow workers can be named. */
+const LOGGED_OVERRUN = 2;
 
 export interface PlacementHolderOptions {
   readonly store: RowStore;
@@ -72,6 +70,8 @@
   readonly waves: () => ReadonlyMap<number, WaveOrder>;
   readonly leaseMs: number;
   readonly maxWorkerLeaseMs: number;
+  /** How long the state of an ended job can be read at least, in milliseconds. */
+  readonly retentionMs: number;
   /** Time after the acquisition before instances get orders, in milliseconds: an earlier holder may have given some. */
   readonly instanceOrdersAfterMs: number;
   readonly counters: Counters;
@@ -98,9 +98,8 @@
   private readonly workerFollower: TableFollower;
   /** Progress as read at the start, until the job's own row is read. */
   private readonly inheritedProgress = new Map<string, JobProgress>();
-  private readonly writtenPending = new Map<string, number>();
-  private queueStatusAtMs = 0;
-  private summaryAtMs = 0;
+  private readonly reports: HolderReports;
+  private readonly sweep: EndedJobSweep;
   private planTimer: Timer | null = null;
   private tickTimer: Timer | null = null;
   private isStopped = false;
@@ -132,6 +131,14 @@
       },
     });
     this.demand = new PoolDemandTracker({ clock, state: this.state });
+    this.reports = new HolderReports({
+      ...options,
+      journal: this.journal,
+      state: this.state,
+      fleet: this.fleet,
+      demand: this.demand,
+    });
+    this.sweep = new EndedJobSweep({ ...options, journal: this.journal, book: this.state.book });
     this.keeper = new InstanceKeeper({
       ...options,
       operations: options.instances,
@@ -198,6 +205,7 @@
     await this.workerFollower.load();
     if (this.isOver()) return;
     this.isLoaded = true;
+    this.dropOrphans();
     this.inheritedProgress.clear();
     this.fleet.expireOrphans([...this.state.book.jobs()].flatMap(({ record }) => record.runs()));
     for (const job of this.state.book.jobs()) if (isEnded(job.record.state)) this.stopRuns(job);
@@ -295,6 +303,14 @@
     return this.isStopped;
   }
 
+  /** Removes progress whose job an earlier holder has swept before it was lost. */
+  private dropOrphans(): void {
+    for (const [jobId, { state }] of this.inheritedProgress) {
+      if (isEnded(state) && !this.state.book.knows(jobId))
+        this.journal.stage({ ...progressAddress(jobId), value: null });
+    }
+  }
+
   private lose(reason: string): void {
     if (this.isStopped) return;
     this.stop();
@@ -363,6 +379,7 @@
   private takeEnd(end: RunEnd, startedAtMs: number | null): void {
     const job = this.state.endRun(end);
     if (job === null) return;
+    this.logUnusualEnd(job, end, startedAtMs);
     if (end.kind === 'done' || end.kind === 'failed') {
       this.health.note(end.workerId, end.task.jobId, end.kind === 'failed', this.options.clock.monotonicMs());
     }
@@ -374,6 +391,18 @@
     this.afterEnd(job, end);
   }
 
+  /** Logs ends that explain a late job; a line for each task would cost more processor time than placing it. */
+  private logUnusualEnd({ record }: OpenJob, end: RunEnd, startedAtMs: number | null): void {
+    const { queueId } = record.job;
+    const { estimateMs, isLongRunning } = record.step(end.task.step);
+    const tookMs = startedAtMs === null ? null : Math.round(this.options.clock.monotonicMs() - startedAtMs);
+    const limitMs = LOGGED_OVERRUN * this.state.estimates.expectedMs(queueId, estimateMs);
+    const isSlow = !isLongRunning && tookMs !== null && tookMs > limitMs;
+    if (!isSlow && (end.kind === 'done' || end.kind === 'stopped')) return;
+    const { task, run, workerId, kind } = end;
+    this.options.logger.info(LOG_EVENTS.taskEnded, { ...task, run, workerId, kind, tookMs });
+  }
+
   private onGone(end: RunEnd): void {
     if (this.isStopped) return;
     const job = this.state.endRun(end);
@@ -428,8 +457,8 @@
     });
     if (this.journal.isCutOff()) this.options.onCutOff();
     this.fleet.sweep();
-    this.writeQueueStatus();
-    this.logSummary();
+    this.reports.tick();
+    if (this.journal.isValid()) void this.sweep.tick();
     const rules = this.options.rules();
     if (rules !== null && this.journal.isValid()) this.supervise(rules);
     this.plan();
@@ -445,9 +474,12 @@
   private supervise(rules: FleetRules): void {
     const { clock } = this.options;
     const nowMs = clock.monotonicMs();
-    this.health.refresh(nowMs);
+    for (const workerId of this.health.refresh(nowMs)) {
+      this.options.counters.increment('workers.suspected');
+      this.options.logger.warn(LOG_EVENTS.workerQuarantined, { workerId });
+    }
     this.rounds.noteWaiting(rules, this.unixMs());
-    this.demand.update(rules, this.meanCapacity(), this.resourcesInUse());
+    this.demand.update(rules, meanCapacity(this.fleet), resourcesInUse(this.fleet, this.state));
     this.keeper.tick(rules);
     const leaving: string[] = [];
     for (const session of this.fleet.all()) {
@@ -476,24 +508,6 @@
     }
   }
 
-  /** What runs on each pool, by the records. */
-  private resourcesInUse(): ReadonlyMap<string, Resources> {
-    const used = new Map<string, Resources>();
-    for (const { entry, worker } of this.fleet.all()) {
-      const here = this.state.occupancy.onWorker(worker.workerId);
-      used.set(entry.poolId, addResources(used.get(entry.poolId) ?? NO_RESOURCES, here));
-    }
-    return used;
-  }
-
-  /** What one instance offers, on average. */
-  private meanCapacity(): Resources {
-    const capacities = [...this.fleet.all()].map(({ entry }) => entry.capacity);
-    const total = capacities.reduce(addResources, NO_RESOURCES);
-    const mean = (sum: number): number => sum / Math.max(1, capacities.length);
-    return combineResources(total, NO_RESOURCES, mean);
-  }
-
   /** Unix time by the workers' clocks, which do not follow jumps of this machine's time of day. */
   private unixMs(): number {
     const readings: number[] = [];
@@ -504,38 +518,4 @@
     readings.sort((a, b) => a - b);
     return readings[Math.floor(readings.length / 2)] ?? this.options.clock.wallMs();
   }
-
-  private logSummary(): void {
-    const nowMs = this.options.clock.monotonicMs();
-    const rules = this.options.rules();
-    if (rules === null || nowMs - this.summaryAtMs < SUMMARY_INTERVAL_MS) return;
-    this.summaryAtMs = nowMs;
-    const used = this.resourcesInUse();
-    const pools = [...rules.pools.values()]
-      .filter(({ spare }) => !spare)
-      .map(({ poolId }) => ({
-        poolId,
-        usable: [...this.fleet.all()].filter(({ entry }) => entry.poolId === poolId).length,
-        wanted: this.demand.wanted(poolId),
-        used: Math.round(used.get(poolId)?.processors ?? 0),
-        waiting: Math.round(this.demand.waitingIn(poolId).processors),
-      }));
-    const teams = [...rules.teams.values()].map(({ teamId, upperLimit }) => [
-      teamId,
-      Math.round(this.state.occupancy.ofTeam(teamId).processors),
-      Math.round(upperLimit.processors),
-    ]);
-    this.options.logger.info(LOG_EVENTS.poolSummary, { pools, teams });
-  }
-
-  private writeQueueStatus(): void {
-    const nowMs = this.options.clock.monotonicMs();
-    if (nowMs - this.queueStatusAtMs < QUEUE_STATUS_INTERVAL_MS) return;
-    this.queueStatusAtMs = nowMs;
-    for (const [queueId, pending] of this.state.book.pendingByQueue()) {
-      if (this.writtenPending.get(queueId) === pending) continue;
-      this.writtenPending.set(queueId, pending);
-      this.journal.stage({ ...queueStatusAddress(queueId), value: encodeQueueStatus({ pending }) });
-    }
-  }
 }
--- a/placement/placement_plugin.ts
+++ b/placement/placement_plugin.ts
@@ -93,7 +93,7 @@
 
   /** Resolves once the role is lost. */
   private async hold(kernel: Kernel, lease: AcquiredLease): Promise<void> {
-    const { instanceTurnMs, maxWorkerLeaseMs } = kernel.use(NODE_SETTINGS);
+    const { instanceTurnMs, maxWorkerLeaseMs, endedJobRetentionMs } = kernel.use(NODE_SETTINGS);
     const { rules, waves } = kernel.use(OPERATOR_ORDERS);
     await new Promise<void>((resolve) => {
       const holder = new PlacementHolder({
@@ -108,6 +108,7 @@
         lease,
         leaseMs: ROLE_LEASE_MS,
         maxWorkerLeaseMs,
+        retentionMs: endedJobRetentionMs,
         instanceOrdersAfterMs: lease.row.epoch > 1 ? instanceTurnMs - ROLE_LEASE_MS : 0,
         counters: kernel.use(COUNTERS),
         logger: kernel.use(LOGGER),
--- a/placement/placement_state.ts
+++ b/placement/placement_state.ts
@@ -33,7 +33,9 @@
   private readonly runsByWorker = new Map<string, Map<string, RecordedRun>>();
 
   constructor(private readonly options: PlacementStateOptions) {
-    this.book = new JobBook((queueId) => options.rules()?.queues.get(queueId)?.maxAttempts ?? Infinity);
+    const { clock, rules } = options;
+    const maxAttempts = (queueId: string): number => rules()?.queues.get(queueId)?.maxAttempts ?? Infinity;
+    this.book = new JobBook({ clock, maxAttempts });
   }
 
   /** Takes over the runs that are recorded in a job's progress. */
--- a/placement/worker_health.ts
+++ b/placement/worker_health.ts
@@ -34,9 +34,15 @@
     this.results.set(workerId, [...this.recent(workerId, nowMs), { atMs: nowMs, jobId, isBad }]);
   }
 
-  /** Judges all workers anew; called some times a second, since the judgement is asked for in every round. */
-  refresh(nowMs: number): void {
-    this.suspected = new Set([...this.results.keys()].filter((workerId) => this.judge(workerId, nowMs)));
+  /**
+   * Judges all workers anew; called some times a second, since the judgement is
+   * asked for in every round. Returns the workers that are suspected from now on.
+   */
+  refresh(nowMs: number): readonly string[] {
+    const before = this.suspected;
+    const suspected = [...this.results.keys()].filter((workerId) => this.judge(workerId, nowMs));
+    this.suspected = new Set(suspected);
+    return suspected.filter((workerId) => !before.has(workerId));
   }
 
   isSuspected(workerId: string): boolean {
