Divide instances among the pools when they want more than there are

Cause: a pool gave instances up only beyond its own wish. Instances that are down counted as present.

Change: where the wishes exceed the instances, each pool keeps its least number and the rest is divided in proportion to the wishes; a difference of one moves nothing. Instances that are down do not count.

The three new cases of scheduling/pool_sizing_test.ts fail without the change.

--- a/placement/instance_keeper.ts
+++ b/placement/instance_keeper.ts
@@ -181,11 +181,13 @@
       const incoming = instances.filter(
         (instance) => instance.poolId !== pool.poolId && this.directory.poolOf(instance) === pool.poolId,
       ).length;
-      const wantedInstances = this.options.demand.wanted(pool.poolId);
-      return { poolId: pool.poolId, isSpare: pool.spare, incoming, wantedInstances };
+      const { poolId, spare } = pool;
+      const { demand } = this.options;
+      const wantedInstances = demand.wanted(poolId);
+      return { poolId, isSpare: spare, incoming, wantedInstances, leastInstances: demand.least(poolId) };
     });
     const sized = instances
-      .filter((instance) => this.directory.poolOf(instance) === instance.poolId)
+      .filter((instance) => this.directory.poolOf(instance) === instance.poolId && instance.state !== 'down')
       .map((instance) => this.sized(instance, rules));
     const { moves, closing } = planSizes({ pools, instances: sized });
     this.closingForMove = new Set(closing);
--- a/placement/pool_demand.ts
+++ b/placement/pool_demand.ts
@@ -36,6 +36,8 @@
   private readonly meters = new Map<string, DemandMeter>();
   /** Wishes of the last {@link SHRINK_AFTER_MS}, by pool. */
   private readonly wishes = new Map<string, readonly Wish[]>();
+  /** Instances that lasting steps need for their spread, by pool. */
+  private spread: ReadonlyMap<string, number> = new Map();
   private readonly waiting = new Map<string, Resources>();
 
   constructor(private readonly options: PoolDemandOptions) {}
@@ -68,7 +70,7 @@
   /** Decides the sizes anew. `instance` says what one instance offers, `used` what runs on each pool. */
   update(rules: FleetRules, instance: Resources, used: ReadonlyMap<string, Resources>): void {
     const nowMs = this.options.clock.monotonicMs();
-    const spread = this.spreadByPool(rules);
+    this.spread = this.spreadByPool(rules);
     for (const { poolId, spare } of rules.pools.values()) {
       if (spare) continue;
       const arriving = this.meters.get(poolId)?.arrivingProcessors(nowMs) ?? 0;
@@ -76,7 +78,7 @@
       const instances = Math.max(dominantShare(present, instance), arriving / instance.processors);
       // Infinite or not a number for what no instance offers, and before any worker is known.
       const wanted = Number.isFinite(instances) ? Math.ceil(instances * (1 + HEADROOM)) : 0;
-      this.track(poolId, Math.max(MIN_INSTANCES, spread.get(poolId) ?? 0, wanted), nowMs);
+      this.track(poolId, Math.max(this.least(poolId), wanted), nowMs);
     }
   }
 
@@ -101,6 +103,11 @@
     return Math.max(0, ...(this.wishes.get(poolId) ?? []).map(({ instances }) => instances));
   }
 
+  /** Instances that the pool keeps whatever the others want. */
+  least(poolId: string): number {
+    return Math.max(MIN_INSTANCES, this.spread.get(poolId) ?? 0);
+  }
+
   private track(poolId: string, instances: number, nowMs: number): void {
     const recent = (this.wishes.get(poolId) ?? []).filter(({ atMs }) => nowMs - atMs < SHRINK_AFTER_MS);
     this.wishes.set(poolId, [...recent, { atMs: nowMs, instances }]);
--- a/scheduling/pool_sizing.ts
+++ b/scheduling/pool_sizing.ts
@@ -17,6 +17,8 @@
   readonly isSpare: boolean;
   /** Instances that the pool should have. */
   readonly wantedInstances: number;
+  /** Instances that it keeps also when all pools together want more than there are. */
+  readonly leastInstances: number;
   /** Instances that are on their way to it. */
   readonly incoming: number;
 }
@@ -38,6 +40,9 @@
   readonly closing: readonly string[];
 }
 
+/** Where instances are scarce, a pool with no more than this many too many keeps them: a move takes longer than a task. */
+const SCARCE_TOLERANCE = 1;
+
 /**
  * Gives instances to pools that want more, from the spare pool first and then
  * from pools that have more than they want, and returns the rest to the spare pool.
@@ -47,7 +52,9 @@
  * const { moves, closing } = planSizes({ pools, instances });
  * ```
  */
-export function planSizes({ pools, instances }: SizingRequest): SizingPlan {
+export function planSizes(request: SizingRequest): SizingPlan {
+  const { instances } = request;
+  const pools = divideScarce(request);
   const spare = pools.find(({ isSpare }) => isSpare);
   const surplus = pools.flatMap((pool) => surplusOf(pool, instances));
   const free = surplus.filter(({ runCount }) => runCount === 0);
@@ -71,6 +78,31 @@
   return { moves, closing: busy.map(({ instanceId }) => instanceId) };
 }
 
+/**
+ * Lowers what the pools want where it is more than there is: each keeps its
+ * least number, and the rest is divided in proportion to what is wanted
+ * beyond. Otherwise the pool whose burst came first would keep all.
+ */
+function divideScarce({ pools, instances }: SizingRequest): readonly PoolDemand[] {
+  const present = instances.length + pools.reduce((sum, { incoming }) => sum + incoming, 0);
+  const open = pools.filter(({ isSpare }) => !isSpare);
+  const wanted = open.reduce((sum, pool) => sum + pool.wantedInstances, 0);
+  if (wanted <= present) return pools;
+  const least = open.reduce((sum, pool) => sum + leastOf(pool), 0);
+  const part = Math.max(0, present - least) / Math.max(1, wanted - least);
+  return pools.map((pool) => {
+    if (pool.isSpare) return pool;
+    const share = Math.round(leastOf(pool) + (pool.wantedInstances - leastOf(pool)) * part);
+    const own = instances.filter(({ poolId }) => poolId === pool.poolId).length + pool.incoming;
+    const isTolerated = own > share && own - share <= SCARCE_TOLERANCE;
+    return { ...pool, wantedInstances: isTolerated ? Math.min(own, pool.wantedInstances) : share };
+  });
+}
+
+function leastOf({ leastInstances, wantedInstances }: PoolDemand): number {
+  return Math.min(leastInstances, wantedInstances);
+}
+
 /** Instances that a pool can do without; all of the spare pool's. */
 function surplusOf(pool: PoolDemand, instances: readonly SizedInstance[]): readonly SizedInstance[] {
   const own = instances.filter(({ poolId }) => poolId === pool.poolId);
--- a/scheduling/pool_sizing_test.ts
+++ b/scheduling/pool_sizing_test.ts
@@ -2,7 +2,7 @@
 import { planSizes, type PoolDemand, type SizedInstance } from './pool_sizing';
 
 function pool(poolId: string, wantedInstances: number, fields: Partial<PoolDemand> = {}): PoolDemand {
-  return { poolId, isSpare: false, wantedInstances, incoming: 0, ...fields };
+  return { poolId, isSpare: false, wantedInstances, leastInstances: 0, incoming: 0, ...fields };
 }
 
 function instance(instanceId: string, poolId: string, fields: Partial<SizedInstance> = {}): SizedInstance {
@@ -47,4 +47,25 @@
     const { moves } = planSizes({ pools: [SPARE, pool('x', 2), pool('y', 2)], instances });
     expect(moves.map(({ toPoolId }) => toPoolId)).toEqual(['x', 'y']);
   });
+
+  describe('with more wanted than there is', () => {
+    const instances = Array.from({ length: 8 }, (_, index) =>
+      instance(`a${index}`, 'first', { runCount: 1 }),
+    );
+
+    test('takes instances from the pool whose burst came first', () => {
+      const plan = planSizes({ pools: [pool('first', 8), pool('second', 8), SPARE], instances });
+      expect(plan.closing).toHaveLength(4);
+    });
+
+    test('leaves each pool its least number', () => {
+      const pools = [pool('first', 8, { leastInstances: 6 }), pool('second', 8), SPARE];
+      expect(planSizes({ pools, instances }).closing).toHaveLength(2);
+    });
+
+    test('moves nothing for a difference of one', () => {
+      const pools = [pool('first', 8), pool('second', 1), SPARE];
+      expect(planSizes({ pools, instances })).toEqual({ moves: [], closing: [] });
+    });
+  });
 });
