Let a successor read open jobs only, and prefer large machines as holders

Cause: a successor reads the rows of all jobs.

Change: the row of an ended job is removed 2 s after its end is stored; its progress keeps the state for as long as promised, so that a repeated submission or a question still finds it. Processes publish their processors; one on a small machine leaves a vacant lease to others for 700 ms if it knows of a far larger machine, unless the former holder has chosen it, and the former holder asks larger machines first.

--- a/daemon/capabilities.ts
+++ b/daemon/capabilities.ts
@@ -24,6 +24,8 @@
 /** Lets another process ask this one to follow it as the holder of the placement role. */
 export interface RoleHandover {
   readonly onTakeOver: (listener: (epoch: number) => void) => void;
+  /** Whether a process on a far larger machine is known, which should hold the role. */
+  readonly knowsStronger: () => boolean;
 }
 
 export const JOB_DESK = capability<JobDesk>('relay.job_desk');
--- a/daemon/node_settings.ts
+++ b/daemon/node_settings.ts
@@ -4,6 +4,8 @@
   /** Name of the machine; it stays the same when the process starts again. */
   readonly nodeName: string;
   readonly availabilityZone: string;
+  /** Processors that this process may use, in parts of one core of the platform. */
+  readonly processors: number;
   /** Where callers are served; `null` if this process serves none. */
   readonly callerAddress: SocketAddress | null;
   /** Where the balancer asks whether this process takes callers. */
--- a/placement/_placement_world.ts
+++ b/placement/_placement_world.ts
@@ -179,8 +179,8 @@
     return (await this.operator.readOne(address))?.value ?? null;
   }
 
-  process(name: string): WorldProcess {
-    return new WorldProcess(this, name);
+  process(name: string, options: { readonly knowsStronger?: boolean } = {}): WorldProcess {
+    return new WorldProcess(this, name, options.knowsStronger);
   }
 
   /** Lets time pass in small steps, so that promises settle between timers. */
@@ -208,6 +208,7 @@
   constructor(
     private readonly world: PlacementWorld,
     name: string,
+    knowsStronger = false,
   ) {
     this.store = new MemoryRowStore(world.rows, world.clock);
     this.watch = new LeaseWatch({
@@ -215,6 +216,7 @@
       clock: world.clock,
       identity: { nodeName: name, processId: `${name}-process` },
       leaseMs: ROLE_LEASE_MS,
+      knowsStronger: () => knowsStronger,
     });
   }
 
--- a/placement/ended_job_sweep.ts
+++ b/placement/ended_job_sweep.ts
@@ -1,4 +1,4 @@
-/** Removes the rows of jobs that ended long ago, so that the tables do not grow for ever. */
+/** Removes the rows of ended jobs, so that neither the tables nor what a successor has to read grow for ever. */
 import type { Clock } from '../kernel/clock';
 import { cancelAddress, jobAddress, progressAddress } from '../scheduling/job_rows';
 import { isStoreFailure, type RowStore, type RowWrite } from '../store/row_store';
@@ -9,11 +9,19 @@
 /** States are kept this many times as long as promised: the holder notes an end later than callers may count from. */
 const RETENTION_FACTOR = 2;
 
-/** Time between two sweeps, in milliseconds; a sweep costs up to five transactions, and nothing waits for it. */
-const SWEEP_INTERVAL_MS = 5_000;
+/**
+ * The row of an ended job goes this long after its end, in milliseconds. A
+ * successor reads all rows of jobs, which takes seconds over a slow link, and
+ * needs none of an ended one. Long enough to remove many with one transaction.
+ */
+const JOB_ROW_MS = 2_000;
+
+/** Time between two sweeps, in milliseconds; a sweep costs up to four transactions, and nothing waits for it. */
+const SWEEP_INTERVAL_MS = 2_000;
 
 /** Jobs of one sweep; each has two rows in its partition, of which a transaction takes 100. */
-const MAX_JOBS = 40;
+const MAX_JOBS = 150;
+const MAX_ROWS = 100;
 
 export interface EndedJobSweepOptions {
   readonly clock: Clock;
@@ -26,8 +34,9 @@
 }
 
 /**
- * The row of the job goes before its progress: a job with progress alone is
- * still shown as ended, one with its own row alone would look new.
+ * The row of the job goes first and its progress, which names the state, once
+ * the state need not be known any more. A repeated submission in between
+ * creates the row again; the progress shows that the job has ended.
  */
 export class EndedJobSweep {
   private nextAtMs = 0;
@@ -37,15 +46,13 @@
 
   /** Sweeps if it is time; called several times a second. */
   async tick(): Promise<void> {
-    const { clock, book, retentionMs } = this.options;
-    const nowMs = clock.monotonicMs();
+    const nowMs = this.options.clock.monotonicMs();
     if (this.isBusy || nowMs < this.nextAtMs) return;
     this.nextAtMs = nowMs + SWEEP_INTERVAL_MS;
-    const jobIds = book.endedBefore(nowMs - retentionMs * RETENTION_FACTOR, MAX_JOBS);
-    if (jobIds.length === 0) return;
     this.isBusy = true;
     try {
-      await this.sweep(jobIds);
+      await this.removeJobRows(nowMs - JOB_ROW_MS);
+      await this.removeProgress(nowMs);
     } catch (error) {
       if (!isStoreFailure(error)) throw error;
       // Removing a row twice does no harm: the next sweep tries all of them again.
@@ -55,19 +62,36 @@
     }
   }
 
-  private async sweep(jobIds: readonly string[]): Promise<void> {
-    const { store, journal, book, counters } = this.options;
-    const writes = new Map<string, RowWrite[]>();
-    for (const address of jobIds.flatMap((jobId) => [jobAddress(jobId), cancelAddress(jobId)])) {
-      const ofPartition = writes.get(address.partition) ?? [];
-      writes.set(address.partition, ofPartition);
-      ofPartition.push({ ...address, value: null });
-    }
-    for (const ofPartition of writes.values()) await store.transact({ conditions: [], writes: ofPartition });
+  private async removeJobRows(endedBeforeMs: number): Promise<void> {
+    const { book, counters } = this.options;
+    const jobIds = book.unsweptBefore(endedBeforeMs, MAX_JOBS);
+    await this.removeRows(jobIds.flatMap((jobId) => [jobAddress(jobId), cancelAddress(jobId)]));
+    book.markSwept(jobIds);
+    if (jobIds.length > 0) counters.increment('placement.swept', undefined, jobIds.length);
+  }
+
+  private async removeProgress(nowMs: number): Promise<void> {
+    const { journal, book, retentionMs } = this.options;
+    const jobIds = book.endedBefore(nowMs - retentionMs * RETENTION_FACTOR, MAX_JOBS);
+    // Again, since a repeated submission may have created the row anew, which alone would look like a new job.
+    await this.removeRows(jobIds.map(jobAddress));
     for (const jobId of jobIds) {
       journal.stage({ ...progressAddress(jobId), value: null });
       book.forget(jobId);
     }
-    counters.increment('placement.swept', undefined, jobIds.length);
+  }
+
+  private async removeRows(addresses: readonly Omit<RowWrite, 'value'>[]): Promise<void> {
+    const byPartition = new Map<string, RowWrite[]>();
+    for (const address of addresses) {
+      const writes = byPartition.get(address.partition) ?? [];
+      byPartition.set(address.partition, writes);
+      writes.push({ ...address, value: null });
+    }
+    for (const writes of byPartition.values()) {
+      for (let start = 0; start < writes.length; start += MAX_ROWS) {
+        await this.options.store.transact({ conditions: [], writes: writes.slice(start, start + MAX_ROWS) });
+      }
+    }
   }
 }
--- a/placement/job_book.ts
+++ b/placement/job_book.ts
@@ -23,6 +23,8 @@
   private readonly open = new Map<string, OpenJob>();
   /** When each ended job was found to have ended, on the steady clock; the oldest first. */
   private readonly ended = new Map<string, number>();
+  /** Ended jobs whose own rows are still stored, the oldest first. */
+  private readonly unswept = new Set<string>();
   private serial = 0;
 
   constructor(private readonly options: JobBookOptions) {}
@@ -36,7 +38,8 @@
       ...(progress === undefined ? {} : { progress }),
     });
     if (record.isSettled()) {
-      this.noteEnd(job.jobId);
+      this.noteEnded(job.jobId);
+      this.allowSweep(job.jobId);
       return null;
     }
     this.serial += 1;
@@ -49,10 +52,35 @@
     return this.open.get(jobId);
   }
 
+  /** Remembers that a job has ended. */
+  noteEnded(jobId: string): void {
+    this.ended.set(jobId, this.options.clock.monotonicMs());
+  }
+
+  /** The end of a job is stored, so that its own row may be removed. */
+  allowSweep(jobId: string): void {
+    if (this.ended.has(jobId)) this.unswept.add(jobId);
+  }
+
   /** Drops a job that has ended and of which nothing runs. */
   settle(jobId: string): void {
     this.open.delete(jobId);
-    this.noteEnd(jobId);
+    this.noteEnded(jobId);
+  }
+
+  /** Jobs that ended before a moment of the steady clock and whose own rows are still stored. */
+  unsweptBefore(beforeMs: number, limit: number): readonly string[] {
+    const found: string[] = [];
+    for (const jobId of this.unswept) {
+      if ((this.ended.get(jobId) ?? 0) >= beforeMs || found.length >= limit) break;
+      found.push(jobId);
+    }
+    return found;
+  }
+
+  /** Notes that the own rows of ended jobs have been removed. */
+  markSwept(jobIds: readonly string[]): void {
+    for (const jobId of jobIds) this.unswept.delete(jobId);
   }
 
   knows(jobId: string): boolean {
@@ -69,9 +97,10 @@
     return found;
   }
 
-  /** Forgets that a job has ended, after its rows have been removed. */
+  /** Forgets that a job has ended, after all of its rows have been removed. */
   forget(jobId: string): void {
     this.ended.delete(jobId);
+    this.unswept.delete(jobId);
   }
 
   jobs(): Iterable<OpenJob> {
@@ -88,8 +117,4 @@
     }
     return counts;
   }
-
-  private noteEnd(jobId: string): void {
-    this.ended.set(jobId, this.options.clock.monotonicMs());
-  }
 }
--- a/placement/lease_watch.ts
+++ b/placement/lease_watch.ts
@@ -9,6 +9,9 @@
 /** Added to the lease before it is taken over, in milliseconds, for the drift of two steady clocks. */
 const TAKEOVER_MARGIN_MS = 150;
 
+/** A process on a small machine leaves a vacant lease to others for this long, in milliseconds: longer than they take to notice it. */
+const DEFERENCE_MS = 700;
+
 export interface LeaseIdentity {
   readonly nodeName: string;
   readonly processId: string;
@@ -28,6 +31,8 @@
   readonly identity: LeaseIdentity;
   /** Time for which a holder may act after a renewal, in milliseconds. */
   readonly leaseMs: number;
+  /** Whether a process on a far larger machine is known. */
+  readonly knowsStronger: () => boolean;
 }
 
 /**
@@ -44,6 +49,8 @@
   private stopped = false;
   private seenVersion = -1;
   private unchangedSinceMs = 0;
+  /** Since when the lease has been vacant without a break, as far as this process has seen. */
+  private vacantSinceMs: number | null = null;
   private resignedEpoch = 0;
   private wake: () => void = () => undefined;
 
@@ -87,7 +94,11 @@
   private async attempt(): Promise<AcquiredLease | null> {
     try {
       const row = await this.options.store.readOne(LEASE_ADDRESS);
-      if (!this.isVacant(row) || this.stopped) return null;
+      if (!this.isVacant(row)) {
+        this.vacantSinceMs = null;
+        return null;
+      }
+      if (this.stopped || this.mustDefer(row)) return null;
       return await this.take(row);
     } catch (error) {
       if (!isStoreFailure(error)) throw error;
@@ -97,6 +108,16 @@
     }
   }
 
+  /** Whether a stronger process should have the chance to take the vacant lease first. */
+  private mustDefer(row: StoredRow | null): boolean {
+    const nowMs = this.options.clock.monotonicMs();
+    this.vacantSinceMs ??= nowMs;
+    // The holder that resigned has chosen this process itself.
+    const isChosen = row !== null && decodeLease(row.value).epoch === this.resignedEpoch;
+    if (isChosen || !this.options.knowsStronger()) return false;
+    return nowMs - this.vacantSinceMs < DEFERENCE_MS;
+  }
+
   private isVacant(row: StoredRow | null): boolean {
     if (row === null) return true;
     const lease = decodeLease(row.value);
--- /dev/null
+++ b/placement/lease_watch_test.ts
@@ -0,0 +1,38 @@
+/** Guards which process takes a vacant role when machines differ in size. */
+import { PlacementWorld } from './_placement_world';
+
+describe('a vacant lease', () => {
+  test('goes to the process on the large machine, also if a small one sees it first', async () => {
+    const world = new PlacementWorld();
+    const small = world.process('small', { knowsStronger: true });
+    void small.run();
+    await world.advance(300);
+    const large = world.process('large');
+    void large.run();
+    await world.advance(3_000);
+    expect(large.holder).not.toBeNull();
+    expect(small.holder).toBeNull();
+  });
+
+  test('is taken by a small machine when no larger one comes', async () => {
+    const world = new PlacementWorld();
+    const small = world.process('small', { knowsStronger: true });
+    void small.run();
+    await world.advance(2_000);
+    expect(small.holder).not.toBeNull();
+  });
+
+  test('is taken at once by the process that the former holder has chosen', async () => {
+    const world = new PlacementWorld();
+    const first = world.process('first');
+    void first.run();
+    await world.advance(500);
+    const chosen = world.process('chosen', { knowsStronger: true });
+    void chosen.run();
+    await world.advance(500);
+    first.holder?.resign();
+    chosen.noteResigned(1);
+    await world.advance(200);
+    expect(chosen.holder).not.toBeNull();
+  });
+});
--- a/placement/placement_holder.ts
+++ b/placement/placement_holder.ts
@@ -12,7 +12,6 @@
   JOB_TABLE,
   PLACEMENT_PARTITION,
   PROGRESS_TABLE,
-  progressAddress,
 } from '../scheduling/job_rows';
 import { UnusableRowError, type PlatformRows } from '../scheduling/platform_rows';
 import type { PlacementAdvice } from '../scheduling/placement_advice';
@@ -205,7 +204,7 @@
     await this.workerFollower.load();
     if (this.isOver()) return;
     this.isLoaded = true;
-    this.dropOrphans();
+    this.adoptEnded();
     this.inheritedProgress.clear();
     this.fleet.expireOrphans([...this.state.book.jobs()].flatMap(({ record }) => record.runs()));
     for (const job of this.state.book.jobs()) if (isEnded(job.record.state)) this.stopRuns(job);
@@ -303,11 +302,10 @@
     return this.isStopped;
   }
 
-  /** Removes progress whose job an earlier holder has swept before it was lost. */
-  private dropOrphans(): void {
+  /** Remembers jobs that have ended and whose own rows are gone, until their progress may be removed. */
+  private adoptEnded(): void {
     for (const [jobId, { state }] of this.inheritedProgress) {
-      if (isEnded(state) && !this.state.book.knows(jobId))
-        this.journal.stage({ ...progressAddress(jobId), value: null });
+      if (isEnded(state) && !this.state.book.knows(jobId)) this.state.book.noteEnded(jobId);
     }
   }
 
@@ -323,8 +321,9 @@
     const cancelled: string[] = [];
     for (const { key, value } of changes) {
       const cancelledJob = cancelledJobOf(key);
-      if (value === null) this.state.book.forget(key);
-      else if (cancelledJob !== null) cancelled.push(cancelledJob);
+      // The holder itself removes rows; it knows of the end by then.
+      if (value === null) continue;
+      if (cancelledJob !== null) cancelled.push(cancelledJob);
       else this.takeJob(value);
     }
     for (const jobId of cancelled) {
--- a/placement/placement_plugin.ts
+++ b/placement/placement_plugin.ts
@@ -82,6 +82,7 @@
         clock: kernel.clock,
         identity,
         leaseMs: ROLE_LEASE_MS,
+        knowsStronger: kernel.use(ROLE_HANDOVER).knowsStronger,
       });
       const lease = await this.watch.acquire();
       if (lease === null) return;
--- a/placement/placement_state.ts
+++ b/placement/placement_state.ts
@@ -71,7 +71,11 @@
   store(record: JobRecord): void {
     const { jobId } = record.job;
     this.options.journal.stage({ ...progressAddress(jobId), value: encodeProgress(record.progress) });
-    if (record.isSettled()) this.book.settle(jobId);
+    if (!record.isSettled()) return;
+    this.book.settle(jobId);
+    this.options.journal.afterCommit(() => {
+      this.book.allowSweep(jobId);
+    });
   }
 
   runsOn(workerId: string): readonly RecordedRun[] {
--- a/relay/process_directory.ts
+++ b/relay/process_directory.ts
@@ -13,7 +13,16 @@
 /** Pause before a registration that failed is tried again, in milliseconds. */
 const RETRY_MS = 1_000;
 
-const processSchema = z.object({ address: z.string() });
+/** A process with this many times the processors of another one is preferred as the holder of a role. */
+const STRONGER_FACTOR = 1.5;
+
+const processSchema = z.object({
+  address: z.string(),
+  /** Earlier versions do not write it. */
+  processors: z.number().default(0),
+});
+
+type ProcessRow = Readonly<z.infer<typeof processSchema>>;
 
 export interface ProcessDirectoryOptions {
   readonly store: RowStore;
@@ -21,11 +30,13 @@
   readonly nodeName: string;
   /** IP address and port at which this process serves the others. */
   readonly address: string;
+  /** Processors that this process may use. */
+  readonly processors: number;
 }
 
 /** Registers this process and knows the addresses of the others. */
 export class ProcessDirectory {
-  private readonly addresses = new Map<string, string>();
+  private readonly processes = new Map<string, ProcessRow>();
   private readonly follower: TableFollower;
   private isStopped = false;
 
@@ -42,9 +53,17 @@
     });
   }
 
-  /** Addresses of the other processes. */
+  /** Addresses of the other processes, those with most processors first. */
   others(): readonly string[] {
-    return [...this.addresses.values()];
+    return [...this.processes.values()]
+      .sort((a, b) => b.processors - a.processors)
+      .map(({ address }) => address);
+  }
+
+  /** Whether a process with far more processors than this one is known; it may be gone. */
+  knowsStronger(): boolean {
+    const limit = this.options.processors * STRONGER_FACTOR;
+    return [...this.processes.values()].some(({ processors }) => processors >= limit);
   }
 
   start(): void {
@@ -58,8 +77,9 @@
   }
 
   private async register(): Promise<void> {
-    const { store, clock, nodeName, address } = this.options;
-    const row = { table: TABLE, partition: PARTITION, key: nodeName, value: JSON.stringify({ address }) };
+    const { store, clock, nodeName, address, processors } = this.options;
+    const value = JSON.stringify({ address, processors });
+    const row = { table: TABLE, partition: PARTITION, key: nodeName, value };
     while (!this.isStopped) {
       try {
         await store.transact({ conditions: [], writes: [row] });
@@ -74,7 +94,7 @@
   private take({ key, value }: RowChange): void {
     if (key === this.options.nodeName) return;
     const parsed = value === null ? null : processSchema.safeParse(JSON.parse(value));
-    if (parsed?.success === true) this.addresses.set(key, parsed.data.address);
-    else this.addresses.delete(key);
+    if (parsed?.success === true) this.processes.set(key, parsed.data);
+    else this.processes.delete(key);
   }
 }
--- a/relay/relay_plugin.ts
+++ b/relay/relay_plugin.ts
@@ -32,7 +32,7 @@
 
   override setUp(kernel: Kernel): void {
     this.kernel = kernel;
-    const { nodeName, internalAddress } = kernel.use(NODE_SETTINGS);
+    const { nodeName, internalAddress, processors } = kernel.use(NODE_SETTINGS);
     const store = kernel.use(ROW_STORE);
     const { clock } = kernel;
     const directory = new ProcessDirectory({
@@ -40,6 +40,7 @@
       clock,
       nodeName,
       address: `${internalAddress.host}:${internalAddress.port}`,
+      processors,
     });
     const client = new RelayClient(() => directory.others());
     this.directory = directory;
@@ -49,6 +50,7 @@
       onTakeOver: (listener) => {
         this.takeOver = listener;
       },
+      knowsStronger: () => directory.knowsStronger(),
     });
     kernel.provide(
       JOB_DESK,
