Split the holder and the session with a worker

Change: ends of runs are in placement/run_ends.ts, what a session knows about a run in placement/session_run.ts, what it tells its owner in placement/session_listener.ts. Nothing behaves differently.

Result: the tests of placement/ and scheduling/ pass unchanged; no measured run.

--- a/placement/_fake_workers.ts
+++ b/placement/_fake_workers.ts
@@ -17,7 +17,7 @@
   type WorkerAddress,
   type WorkerReply,
 } from '../scheduling/worker_gateway';
-import { runKey } from './worker_session';
+import { runKey } from './session_run';
 
 /** One task at work. */
 export interface FakeRun {
--- a/placement/pace_control.ts
+++ b/placement/pace_control.ts
@@ -1,7 +1,8 @@
 /** Slows tasks that fill a worker down while they disturb the tasks that serve beside them. */
 import type { PlacementState, RecordedRun } from './placement_state';
 import { seenRuns } from './run_supervisor';
-import type { SessionRun, WorkerSession } from './worker_session';
+import type { SessionRun } from './session_run';
+import type { WorkerSession } from './worker_session';
 
 /** Fillers are slowed once a serving task's tail exceeds this part of its target. */
 const SLOW_ABOVE = 0.85;
--- a/placement/placement_holder.ts
+++ b/placement/placement_holder.ts
@@ -3,7 +3,7 @@
 import type { FleetRules } from '../scheduling/fleet_rules';
 import type { InstanceOperations } from '../scheduling/instance_operations';
 import { isEnded, type JobProgress } from '../scheduling/job_progress';
-import type { RunEnd, TaskRun } from '../scheduling/job_record';
+import type { RunEnd } from '../scheduling/job_record';
 import {
   cancelledJobOf,
   decodeJob,
@@ -23,12 +23,12 @@
 import type { Counters } from '../telemetry/counters';
 import { LOG_EVENTS } from '../telemetry/events_catalogue';
 import type { Logger } from '../telemetry/logger';
-import type { OpenJob } from './job_book';
 import type { AcquiredLease } from './lease_watch';
 import { PlacementJournal } from './placement_journal';
 import { PlacementState } from './placement_state';
 import { PlacementRounds } from './placement_rounds';
 import { PoolDemandTracker } from './pool_demand';
+import { RunEnds } from './run_ends';
 import { isStuck, seenRuns } from './run_supervisor';
 import { WorkerHealth } from './worker_health';
 import { AdviceBook } from './advice_book';
@@ -38,7 +38,9 @@
 import { InstanceKeeper } from './instance_keeper';
 import { controlPace } from './pace_control';
 import { WorkerFleet } from './worker_fleet';
-import { SessionListener, type HeardEnd, type SessionRun, type WorkerSession } from './worker_session';
+import { SessionListener, type HeardEnd } from './session_listener';
+import type { SessionRun } from './session_run';
+import type { WorkerSession } from './worker_session';
 
 /** How long one call for changed jobs waits, in milliseconds; a silent connection is noticed after it. */
 const JOB_FEED_WAIT_MS = 2_000;
@@ -53,9 +55,6 @@
 /** How often work that depends on time alone is looked at, in milliseconds. */
 const TICK_MS = 250;
 
-/** A run that takes this many times its expected time is logged, so that slow workers can be named. */
-const LOGGED_OVERRUN = 2;
-
 export interface PlacementHolderOptions {
   readonly store: RowStore;
   readonly clock: Clock;
@@ -90,6 +89,7 @@
   private readonly state: PlacementState;
   private readonly fleet: WorkerFleet;
   private readonly health = new WorkerHealth();
+  private readonly ends: RunEnds;
   private readonly demand: PoolDemandTracker;
   private readonly keeper: InstanceKeeper;
   private readonly rounds: PlacementRounds;
@@ -129,6 +129,7 @@
         this.onGone(end);
       },
     });
+    this.ends = new RunEnds({ ...options, state: this.state, fleet: this.fleet, health: this.health });
     this.demand = new PoolDemandTracker({ clock, state: this.state });
     this.reports = new HolderReports({
       ...options,
@@ -207,7 +208,7 @@
     this.adoptEnded();
     this.inheritedProgress.clear();
     this.fleet.expireOrphans([...this.state.book.jobs()].flatMap(({ record }) => record.runs()));
-    for (const job of this.state.book.jobs()) if (isEnded(job.record.state)) this.stopRuns(job);
+    for (const job of this.state.book.jobs()) if (isEnded(job.record.state)) this.ends.stopRuns(job);
     void this.jobFollower.run();
     void this.workerFollower.run();
     this.tickTimer = clock.schedule(TICK_MS, () => {
@@ -254,7 +255,7 @@
   override onEnds(session: WorkerSession, ends: readonly HeardEnd[]): void {
     if (this.isStopped) return;
     const { workerId } = session.worker;
-    for (const end of ends) this.takeEnd({ ...end, workerId }, end.startedAtMs);
+    for (const end of ends) this.ends.take({ ...end, workerId }, end.startedAtMs);
     const last = ends.at(-1)?.number ?? 0;
     this.journal.afterCommit(() => {
       session.markRecorded(last);
@@ -328,7 +329,7 @@
     }
     for (const jobId of cancelled) {
       const job = this.state.cancel(jobId);
-      if (job !== null) this.stopRuns(job);
+      if (job !== null) this.ends.stopRuns(job);
     }
     this.schedulePlan();
   }
@@ -375,70 +376,8 @@
     }
   }
 
-  private takeEnd(end: RunEnd, startedAtMs: number | null): void {
-    const job = this.state.endRun(end);
-    if (job === null) return;
-    this.logUnusualEnd(job, end, startedAtMs);
-    if (end.kind === 'done' || end.kind === 'failed') {
-      this.health.note(end.workerId, end.task.jobId, end.kind === 'failed', this.options.clock.monotonicMs());
-    }
-    if (end.kind === 'done' && startedAtMs !== null) {
-      const { estimateMs } = job.record.step(end.task.step);
-      const tookMs = this.options.clock.monotonicMs() - startedAtMs;
-      this.state.estimates.observe(job.record.job.queueId, estimateMs, tookMs);
-    }
-    this.afterEnd(job, end);
-  }
-
-  /** Logs ends that explain a late job; a line for each task would cost more processor time than placing it. */
-  private logUnusualEnd({ record }: OpenJob, end: RunEnd, startedAtMs: number | null): void {
-    const { queueId } = record.job;
-    const { estimateMs, isLongRunning } = record.step(end.task.step);
-    const tookMs = startedAtMs === null ? null : Math.round(this.options.clock.monotonicMs() - startedAtMs);
-    const limitMs = LOGGED_OVERRUN * this.state.estimates.expectedMs(queueId, estimateMs);
-    const isSlow = !isLongRunning && tookMs !== null && tookMs > limitMs;
-    if (!isSlow && (end.kind === 'done' || end.kind === 'stopped')) return;
-    const { task, run, workerId, kind } = end;
-    this.options.logger.info(LOG_EVENTS.taskEnded, { ...task, run, workerId, kind, tookMs });
-  }
-
   private onGone(end: RunEnd): void {
-    if (this.isStopped) return;
-    const job = this.state.endRun(end);
-    if (job === null) return;
-    this.afterEnd(job, end);
-    this.schedulePlan();
-  }
-
-  /** Stops what an end makes pointless: copies of a done task, the rest of a gang, all of an ended job. */
-  private afterEnd(job: OpenJob, end: RunEnd): void {
-    const { record } = job;
-    if (isEnded(record.state)) {
-      this.logEnd(job);
-      this.stopRuns(job);
-      return;
-    }
-    const { isGang } = record.step(end.task.step);
-    const siblings = record.runsOfStep(end.task.occurrence, end.task.step);
-    for (const run of siblings) {
-      const isCopy = run.task.index === end.task.index && end.kind === 'done';
-      if (isCopy || (isGang && end.kind !== 'done')) this.stopRun(run);
-    }
-  }
-
-  private logEnd({ record, acceptedAtMs }: OpenJob): void {
-    const { jobId, queueId } = record.job;
-    const tookMs = Math.round(this.options.clock.monotonicMs() - acceptedAtMs);
-    this.options.counters.increment('placement.job_ended', record.state);
-    this.options.logger.info(LOG_EVENTS.jobEnded, { jobId, queueId, state: record.state, tookMs });
-  }
-
-  private stopRuns({ record }: OpenJob): void {
-    for (const run of record.runs()) this.stopRun(run);
-  }
-
-  private stopRun({ task, run, workerId }: TaskRun): void {
-    this.fleet.get(workerId)?.stop(task, run);
+    if (!this.isStopped && this.ends.takeLoss(end)) this.schedulePlan();
   }
 
   private schedulePlan(): void {
--- /dev/null
+++ b/placement/run_ends.ts
@@ -0,0 +1,100 @@
+/** Takes the ends of runs into account: progress, health of workers, run times, and what an end makes pointless. */
+import type { Clock } from '../kernel/clock';
+import { isEnded } from '../scheduling/job_progress';
+import type { RunEnd, TaskRun } from '../scheduling/job_record';
+import type { Counters } from '../telemetry/counters';
+import { LOG_EVENTS } from '../telemetry/events_catalogue';
+import type { Logger } from '../telemetry/logger';
+import type { OpenJob } from './job_book';
+import type { PlacementState } from './placement_state';
+import type { WorkerFleet } from './worker_fleet';
+import type { WorkerHealth } from './worker_health';
+
+/** A run that takes this many times its expected time is logged, so that slow workers can be named. */
+const LOGGED_OVERRUN = 2;
+
+export interface RunEndsOptions {
+  readonly clock: Clock;
+  readonly state: PlacementState;
+  readonly fleet: WorkerFleet;
+  readonly health: WorkerHealth;
+  readonly counters: Counters;
+  readonly logger: Logger;
+}
+
+export class RunEnds {
+  constructor(private readonly options: RunEndsOptions) {}
+
+  /** Takes an end that a worker has told; `startedAtMs` is on the steady clock, `null` if the run was never seen. */
+  take(end: RunEnd, startedAtMs: number | null): void {
+    const job = this.options.state.endRun(end);
+    if (job === null) return;
+    this.logUnusualEnd(job, end, startedAtMs);
+    if (end.kind === 'done' || end.kind === 'failed') {
+      this.options.health.note(
+        end.workerId,
+        end.task.jobId,
+        end.kind === 'failed',
+        this.options.clock.monotonicMs(),
+      );
+    }
+    if (end.kind === 'done' && startedAtMs !== null) {
+      const { estimateMs } = job.record.step(end.task.step);
+      const tookMs = this.options.clock.monotonicMs() - startedAtMs;
+      this.options.state.estimates.observe(job.record.job.queueId, estimateMs, tookMs);
+    }
+    this.afterEnd(job, end);
+  }
+
+  /** Logs ends that explain a late job; a line for each task would cost more processor time than placing it. */
+  private logUnusualEnd({ record }: OpenJob, end: RunEnd, startedAtMs: number | null): void {
+    const { queueId } = record.job;
+    const { estimateMs, isLongRunning } = record.step(end.task.step);
+    const tookMs = startedAtMs === null ? null : Math.round(this.options.clock.monotonicMs() - startedAtMs);
+    const limitMs = LOGGED_OVERRUN * this.options.state.estimates.expectedMs(queueId, estimateMs);
+    const isSlow = !isLongRunning && tookMs !== null && tookMs > limitMs;
+    if (!isSlow && (end.kind === 'done' || end.kind === 'stopped')) return;
+    const { task, run, workerId, kind } = end;
+    this.options.logger.info(LOG_EVENTS.taskEnded, { ...task, run, workerId, kind, tookMs });
+  }
+
+  /** Takes the end of a run of which nothing more will be heard. Returns whether it was a recorded one. */
+  takeLoss(end: RunEnd): boolean {
+    const job = this.options.state.endRun(end);
+    if (job === null) return false;
+    this.afterEnd(job, end);
+    return true;
+  }
+
+  /** Stops what an end makes pointless: copies of a done task, the rest of a gang, all of an ended job. */
+  private afterEnd(job: OpenJob, end: RunEnd): void {
+    const { record } = job;
+    if (isEnded(record.state)) {
+      this.logEnd(job);
+      this.stopRuns(job);
+      return;
+    }
+    const { isGang } = record.step(end.task.step);
+    const siblings = record.runsOfStep(end.task.occurrence, end.task.step);
+    for (const run of siblings) {
+      const isCopy = run.task.index === end.task.index && end.kind === 'done';
+      if (isCopy || (isGang && end.kind !== 'done')) this.stopRun(run);
+    }
+  }
+
+  private logEnd({ record, acceptedAtMs }: OpenJob): void {
+    const { jobId, queueId } = record.job;
+    const tookMs = Math.round(this.options.clock.monotonicMs() - acceptedAtMs);
+    this.options.counters.increment('placement.job_ended', record.state);
+    this.options.logger.info(LOG_EVENTS.jobEnded, { jobId, queueId, state: record.state, tookMs });
+  }
+
+  /** Stops everything that runs of a job. */
+  stopRuns({ record }: OpenJob): void {
+    for (const run of record.runs()) this.stopRun(run);
+  }
+
+  private stopRun({ task, run, workerId }: TaskRun): void {
+    this.options.fleet.get(workerId)?.stop(task, run);
+  }
+}
--- a/placement/run_supervisor.ts
+++ b/placement/run_supervisor.ts
@@ -1,6 +1,7 @@
 /** Finds runs that make no progress where they are. */
 import type { PlacementState, RecordedRun } from './placement_state';
-import type { SessionRun, WorkerSession } from './worker_session';
+import type { SessionRun } from './session_run';
+import type { WorkerSession } from './worker_session';
 
 /** A run without progress for this long is stuck, in milliseconds; progress is heard every 1.5 s at the latest. */
 const STUCK_MS = 2_500;
--- /dev/null
+++ b/placement/session_listener.ts
@@ -0,0 +1,24 @@
+/** What a session with a worker tells its owner. */
+import type { EndedTask, Rejection, RunningTask } from '../scheduling/worker_gateway';
+import type { SessionRun } from './session_run';
+import type { WorkerSession } from './worker_session';
+
+/** An end with when the run was first known to run, on the steady clock; `null` if it never was. */
+export interface HeardEnd extends EndedTask {
+  readonly startedAtMs: number | null;
+}
+
+/** Learns what happens on workers. */
+export abstract class SessionListener {
+  abstract onFenced(): void;
+  /** The worker is under this holder's token and has said what runs there. */
+  abstract onReady(session: WorkerSession): void;
+  abstract onEnds(session: WorkerSession, ends: readonly HeardEnd[]): void;
+  /** A start was refused; the run does not exist. */
+  abstract onRejected(session: WorkerSession, run: SessionRun, reason: Rejection | 'not_reached'): void;
+  /** The run exists no more, and how it ended will not be known. */
+  abstract onLost(session: WorkerSession, run: SessionRun): void;
+  abstract onProgress(session: WorkerSession, running: readonly RunningTask[]): void;
+  /** Another incarnation has taken the place of this one. */
+  abstract onReplaced(session: WorkerSession): void;
+}
--- a/placement/worker_fleet.ts
+++ b/placement/worker_fleet.ts
@@ -4,7 +4,8 @@
 import type { WorkerEntry } from '../scheduling/worker_entry';
 import type { WorkerGateway } from '../scheduling/worker_gateway';
 import { WorkerLease } from './worker_lease';
-import { SessionListener, WorkerSession } from './worker_session';
+import { SessionListener } from './session_listener';
+import { WorkerSession } from './worker_session';
 
 /**
  * The entry of a worker that has ended is ignored for this long, in
--- a/placement/worker_session.ts
+++ b/placement/worker_session.ts
@@ -12,6 +12,8 @@
   type WorkerAddress,
   type WorkerGateway,
 } from '../scheduling/worker_gateway';
+import type { SessionListener } from './session_listener';
+import { isSettling, newSessionRun, runKey, type NewRun, type SessionRun } from './session_run';
 import { WorkerLease } from './worker_lease';
 
 /** How long a lease call waits for an end, in milliseconds. */
@@ -32,56 +34,6 @@
 /** Ends that one answer names at most; a fuller one does not show what is missing. */
 const MAX_ENDS = 500;
 
-/** `inherited`: recorded by an earlier holder and not seen running yet. `unsure`: the start was not answered. */
-export type RunPhase = 'inherited' | 'starting' | 'unsure' | 'running' | 'stopping';
-
-/** A run on this worker. */
-export interface SessionRun {
-  readonly task: TaskId;
-  readonly run: number;
-  readonly phase: RunPhase;
-  /** When the phase began, on the steady clock. */
-  readonly sinceMs: number;
-  /** When the run was first seen or answered as running; `null` before. */
-  readonly startedAtMs: number | null;
-  readonly percent: number;
-  /** When {@link percent} last grew. */
-  readonly progressAtMs: number;
-  readonly load: number | null;
-  /** Part of its speed that the run has been told to work at. */
-  readonly pace: number;
-  /** Whether a stop has been answered, after which the run cannot start any more. */
-  readonly isStopAnswered: boolean;
-}
-
-export interface NewRun {
-  readonly task: TaskId;
-  readonly run: number;
-  readonly spec: string;
-  readonly checkpoint: string;
-  readonly ticket: string | null;
-}
-
-/** An end with when the run was first known to run, on the steady clock; `null` if it never was. */
-export interface HeardEnd extends EndedTask {
-  readonly startedAtMs: number | null;
-}
-
-/** Learns what happens on workers. */
-export abstract class SessionListener {
-  abstract onFenced(): void;
-  /** The worker is under this holder's token and has said what runs there. */
-  abstract onReady(session: WorkerSession): void;
-  abstract onEnds(session: WorkerSession, ends: readonly HeardEnd[]): void;
-  /** A start was refused; the run does not exist. */
-  abstract onRejected(session: WorkerSession, run: SessionRun, reason: Rejection | 'not_reached'): void;
-  /** The run exists no more, and how it ended will not be known. */
-  abstract onLost(session: WorkerSession, run: SessionRun): void;
-  abstract onProgress(session: WorkerSession, running: readonly RunningTask[]): void;
-  /** Another incarnation has taken the place of this one. */
-  abstract onReplaced(session: WorkerSession): void;
-}
-
 export interface WorkerSessionOptions {
   readonly clock: Clock;
   readonly gateway: WorkerGateway;
@@ -94,10 +46,6 @@
   readonly inherited: readonly { readonly task: TaskId; readonly run: number }[];
 }
 
-export function runKey({ task, run }: { readonly task: TaskId; readonly run: number }): string {
-  return `${task.jobId}.${task.occurrence}.${task.step}.${task.index}#${run}`;
-}
-
 /**
  * Extends the lease of what runs on a worker, hears ends, and settles orders
  * that were not answered.
@@ -245,20 +193,9 @@
     );
   }
 
-  private track(run: { readonly task: TaskId; readonly run: number; readonly phase: RunPhase }): SessionRun {
+  private track(run: Pick<SessionRun, 'task' | 'run' | 'phase'>): SessionRun {
     const nowMs = this.nowMs();
-    const tracked: SessionRun = {
-      task: run.task,
-      run: run.run,
-      phase: run.phase,
-      sinceMs: nowMs,
-      startedAtMs: null,
-      percent: 0,
-      progressAtMs: nowMs,
-      load: null,
-      pace: 100,
-      isStopAnswered: false,
-    };
+    const tracked = newSessionRun(run, nowMs);
     this.runs.set(runKey(run), tracked);
     this.wake();
     return tracked;
@@ -507,8 +444,3 @@
     }
   }
 }
-
-/** Whether the next answer shows if the run exists. */
-function isSettling({ phase, isStopAnswered }: SessionRun): boolean {
-  return phase === 'unsure' || phase === 'inherited' || isStopAnswered;
-}
