--- a/placement/placement_holder.ts
+++ b/placement/placement_holder.ts
@@ -221,6 +221,10 @@
   async release(): Promise<void> {
     this.stop();
     await this.journal.release();
+    this.options.logger.info(LOG_EVENTS.placementLost, {
+      epoch: this.options.lease.row.epoch,
+      reason: 'given back',
+    });
   }
 
   /** Stops at once; others take the role over when the lease has run out. */
