Enlarge a pool whose lasting tasks find no room on any of its instances

Cause: the wanted size follows the sum of what runs and waits.

Change: a pool of its wanted size in which a lasting task has waited for 600 ms, and not for its team's limit, keeps one instance more as long as its lasting jobs stay the same; four times at most, since a label or a healthy worker may be what is missing.

--- a/placement/holder_reports.ts
+++ b/placement/holder_reports.ts
@@ -6,7 +6,7 @@
 import type { Logger } from '../telemetry/logger';
 import type { PlacementJournal } from './placement_journal';
 import type { PlacementState } from './placement_state';
-import type { PoolDemandTracker } from './pool_demand';
+import type { PoolDemandTracker, PoolUse } from './pool_demand';
 import { encodeQueueStatus, queueStatusAddress } from './queue_status';
 import type { WorkerFleet } from './worker_fleet';
 
@@ -45,14 +45,14 @@
     const rules = this.options.rules();
     if (rules === null || nowMs - this.summaryAtMs < SUMMARY_INTERVAL_MS) return;
     this.summaryAtMs = nowMs;
-    const used = resourcesInUse(fleet, state);
+    const uses = poolUses(fleet, state);
     const pools = [...rules.pools.values()]
       .filter(({ spare }) => !spare)
       .map(({ poolId }) => ({
         poolId,
-        usable: [...fleet.all()].filter(({ entry }) => entry.poolId === poolId).length,
+        usable: uses.get(poolId)?.workers ?? 0,
         wanted: demand.wanted(poolId),
-        used: Math.round(used.get(poolId)?.processors ?? 0),
+        used: Math.round(uses.get(poolId)?.used.processors ?? 0),
         waiting: Math.round(demand.waitingIn(poolId).processors),
       }));
     const teams = [...rules.teams.values()].map(({ teamId, upperLimit }) => [
@@ -76,14 +76,15 @@
   }
 }
 
-/** What runs on each pool, by the records. */
-export function resourcesInUse(fleet: WorkerFleet, state: PlacementState): ReadonlyMap<string, Resources> {
-  const used = new Map<string, Resources>();
+/** What each pool has and what runs there, by the records. */
+export function poolUses(fleet: WorkerFleet, state: PlacementState): ReadonlyMap<string, PoolUse> {
+  const uses = new Map<string, PoolUse>();
   for (const { entry, worker } of fleet.all()) {
+    const { used, workers } = uses.get(entry.poolId) ?? { used: NO_RESOURCES, workers: 0 };
     const here = state.occupancy.onWorker(worker.workerId);
-    used.set(entry.poolId, addResources(used.get(entry.poolId) ?? NO_RESOURCES, here));
+    uses.set(entry.poolId, { used: addResources(used, here), workers: workers + 1 });
   }
-  return used;
+  return uses;
 }
 
 /** What one instance offers, on average. */
--- a/placement/placement_holder.ts
+++ b/placement/placement_holder.ts
@@ -34,7 +34,7 @@
 import { AdviceBook } from './advice_book';
 import { EndedJobSweep } from './ended_job_sweep';
 import { evacuate } from './evacuation';
-import { HolderReports, meanCapacity, resourcesInUse } from './holder_reports';
+import { HolderReports, meanCapacity, poolUses } from './holder_reports';
 import { InstanceKeeper } from './instance_keeper';
 import { controlPace } from './pace_control';
 import { WorkerFleet } from './worker_fleet';
@@ -130,7 +130,7 @@
       },
     });
     this.ends = new RunEnds({ ...options, state: this.state, fleet: this.fleet, health: this.health });
-    this.demand = new PoolDemandTracker({ clock, state: this.state });
+    this.demand = new PoolDemandTracker({ clock, state: this.state, rules });
     this.reports = new HolderReports({
       ...options,
       journal: this.journal,
@@ -421,7 +421,7 @@
       this.options.logger.warn(LOG_EVENTS.workerQuarantined, { workerId });
     }
     this.rounds.noteWaiting(rules, this.unixMs());
-    this.demand.update(rules, meanCapacity(this.fleet), resourcesInUse(this.fleet, this.state));
+    this.demand.update(rules, meanCapacity(this.fleet), poolUses(this.fleet, this.state));
     this.keeper.tick(rules);
     const leaving: string[] = [];
     for (const session of this.fleet.all()) {
--- a/placement/plan_request.ts
+++ b/placement/plan_request.ts
@@ -114,7 +114,8 @@
   return { workers, steps, teamRoom };
 }
 
-function roomUnder(limit: Resources, used: Resources): Resources {
+/** What a team may still start under its limit; 0 in the limit means none. */
+export function roomUnder(limit: Resources, used: Resources): Resources {
   const open = {
     processors: limit.processors === 0 ? UNLIMITED : limit.processors,
     memoryBytes: limit.memoryBytes === 0 ? UNLIMITED : limit.memoryBytes,
--- a/placement/pool_demand_test.ts
+++ b/placement/pool_demand_test.ts
@@ -5,6 +5,7 @@
 import type { StepDefinition } from '../scheduling/job_definition';
 import { MemoryCounters } from '../telemetry/counters';
 import { QUEUE, STEP } from './_placement_world';
+import type { Candidate } from './plan_request';
 import type { PlacementJournal } from './placement_journal';
 import { PlacementState } from './placement_state';
 import { PoolDemandTracker } from './pool_demand';
@@ -20,8 +21,7 @@
   maxBodyBytes: 1_000,
 };
 
-function trackerWith(step: Partial<StepDefinition>): PoolDemandTracker {
-  const clock = new VirtualClock();
+function trackerWith(step: Partial<StepDefinition>, clock = new VirtualClock()): PoolDemandTracker {
   const journal = { stage: () => undefined } as unknown as PlacementJournal;
   const state = new PlacementState({ clock, journal, counters: new MemoryCounters(), rules: () => RULES });
   const definition = { spec: '', steps: [{ ...STEP, ...step }], repeat: null };
@@ -30,9 +30,11 @@
     undefined,
     0,
   );
-  return new PoolDemandTracker({ clock, state });
+  return new PoolDemandTracker({ clock, state, rules: () => RULES });
 }
 
+const RAISED_AFTER_MS = 1_000;
+
 describe('the wanted size of a pool', () => {
   test('leaves each task of a lasting step a worker of its own where the step asks for that', () => {
     const tracker = trackerWith({ taskCount: 24, maxPerWorker: 1, isLongRunning: true });
@@ -43,13 +45,37 @@
   test('follows memory where memory is what runs out', () => {
     const tracker = trackerWith({});
     const used = { processors: 8, memoryBytes: 10 * INSTANCE.memoryBytes, accelerators: 0 };
-    tracker.update(RULES, INSTANCE, new Map([[QUEUE.poolId, used]]));
+    tracker.update(RULES, INSTANCE, new Map([[QUEUE.poolId, { used, workers: 3 }]]));
     expect(tracker.wanted(QUEUE.poolId)).toBeGreaterThanOrEqual(10);
   });
 
   test('stays finite before any worker is known', () => {
     const tracker = trackerWith({});
-    tracker.update(RULES, NO_RESOURCES, new Map([[QUEUE.poolId, INSTANCE]]));
+    tracker.update(RULES, NO_RESOURCES, new Map([[QUEUE.poolId, { used: INSTANCE, workers: 0 }]]));
     expect(tracker.wanted(QUEUE.poolId)).toBeLessThan(10);
   });
+
+  test('grows while lasting tasks find no room for themselves on any instance', () => {
+    const clock = new VirtualClock();
+    const step = { ...STEP, isLongRunning: true, demand: { ...INSTANCE, processors: 20 } };
+    const tracker = trackerWith(step, clock);
+    // Four of five instances have 14 of 32 processors left, so that none takes a task of 20.
+    const used = { processors: 4 * 18, memoryBytes: 0, accelerators: 0 };
+    const pools = new Map([[QUEUE.poolId, { used, workers: 5 }]]);
+    const job = { record: { job: { teamId: null } } };
+    const waiting = { isLongRunning: true, slackMs: 0, job, ready: { definition: step, waiting: [0] } };
+    const update = (): void => {
+      tracker.noteWaiting(new Map([[QUEUE.poolId, [waiting as unknown as Candidate]]]));
+      tracker.update(RULES, INSTANCE, pools);
+    };
+    update();
+    expect(tracker.wanted(QUEUE.poolId)).toBeLessThanOrEqual(5);
+    clock.advance(RAISED_AFTER_MS);
+    update();
+    expect(tracker.wanted(QUEUE.poolId)).toBe(6);
+    tracker.noteWaiting(new Map());
+    clock.advance(10 * RAISED_AFTER_MS);
+    tracker.update(RULES, INSTANCE, pools);
+    expect(tracker.wanted(QUEUE.poolId)).toBe(6);
+  });
 });
