Keep lasting tasks off instances that are due for maintenance

Cause: a lasting task that leaves an instance for a wave was placed on one that was due in the same wave, and had to move again, each time within the step's budget.

Change: the planner prefers instances that are not due for an open wave for lasting tasks and for tasks that fill.

The new case of scheduling/placement_planner_test.ts fails without the change.

--- a/placement/instance_keeper.ts
+++ b/placement/instance_keeper.ts
@@ -60,6 +60,8 @@
   private readonly directory: InstanceDirectory;
   private readonly waveProgress = new Map<number, WaveProgress>();
   private readonly closingForWave = new Set<string>();
+  /** Instances of open waves whose maintenance has not begun. */
+  private readonly dueForWave = new Set<string>();
   private closingForMove: ReadonlySet<string> = new Set();
   private readonly notBeforeMs = new Map<string, number>();
   private readonly inWork = new Set<string>();
@@ -86,6 +88,11 @@
     );
   }
 
+  /** Whether an instance still has to be maintained for an open wave. */
+  isDue(instanceId: string): boolean {
+    return this.dueForWave.has(instanceId);
+  }
+
   /** Decides anew; called several times a second. */
   tick(rules: FleetRules): void {
     void this.directory.refresh();
@@ -93,6 +100,7 @@
     this.retireGoneWorkers();
     if (this.options.clock.monotonicMs() < this.options.ordersFromMs) return;
     this.closingForWave.clear();
+    this.dueForWave.clear();
     for (const wave of this.options.waves().values()) this.advanceWave(wave, rules);
     this.resize(rules);
   }
@@ -119,6 +127,7 @@
       this.saveWave(wave, { ...progress, isCompleted: true });
       return;
     }
+    for (const id of remaining) this.dueForWave.add(id);
     const { maintain, close } = planWave({
       remaining: remaining.map((id) => this.waveInstance(id, rules)),
       downCount: wave.instanceIds.filter((id) => this.isDownForWave(id, begun)).length,
--- a/placement/placement_rounds.ts
+++ b/placement/placement_rounds.ts
@@ -122,6 +122,7 @@
     const isJudged = healthy.length > 0;
     return usable.map(({ entry, worker }) => ({
       workerId: worker.workerId,
+      isDue: keeper.isDue(entry.instanceId),
       rack: entry.rack,
       labels: entry.labels,
       capacity: entry.capacity,
--- a/scheduling/placement_planner.ts
+++ b/scheduling/placement_planner.ts
@@ -16,6 +16,8 @@
   readonly labels: readonly string[];
   readonly capacity: Resources;
   readonly free: Resources;
+  /** Whether it is due for maintenance soon, which a lasting task would have to leave. */
+  readonly isDue: boolean;
   /** Tasks that it may still take, fewer for a worker that has just failed some. */
   readonly tasksLeft: number;
 }
@@ -207,6 +209,8 @@
 const FAILED_BEFORE_COST = 100;
 /** Cost of another task of a long-running step on the same rack and worker, so that one failure takes few. */
 const SAME_WORKER_COST = 4;
+/** Cost of a lasting task on a worker that it would soon have to leave again: more than any difference in room. */
+const DUE_COST = 2;
 
 /** Lower is better. Short tasks fill workers up, so that others become empty; lasting ones spread. */
 function placementCost(
@@ -215,13 +219,14 @@
   counts: ReadonlyMap<string, number>,
   demand: Resources,
 ): number {
-  if (definition.isFiller) return fillerCost(worker, counts);
+  if (definition.isFiller) return fillerCost(worker, counts) + (worker.isDue ? DUE_COST : 0);
   const left = dominantShare(subtractResources(worker.free, demand), worker.capacity);
   const remote = definition.dataRack !== null && definition.dataRack !== worker.rack ? REMOTE_COST : 0;
   const failed = avoid.has(worker.workerId) ? FAILED_BEFORE_COST : 0;
   const together = definition.isLongRunning ? (counts.get(worker.workerId) ?? 0) * SAME_WORKER_COST : 0;
   const sibling = placed.size > 0 && definition.isLongRunning && placed.has(worker.workerId) ? 1 : 0;
-  return left + remote + failed + together + sibling;
+  const due = definition.isLongRunning && worker.isDue ? DUE_COST : 0;
+  return left + remote + failed + together + sibling + due;
 }
 
 /** Fillers go where most processor time is left over, apart from each other. */
--- a/scheduling/placement_planner_test.ts
+++ b/scheduling/placement_planner_test.ts
@@ -6,7 +6,16 @@
 
 function worker(workerId: string, processors: number, fields: Partial<PlanWorker> = {}): PlanWorker {
   const capacity = { processors, memoryBytes: 1_000, accelerators: 0 };
-  return { workerId, rack: 'r1', labels: [], capacity, free: capacity, tasksLeft: Infinity, ...fields };
+  return {
+    workerId,
+    rack: 'r1',
+    labels: [],
+    capacity,
+    free: capacity,
+    isDue: false,
+    tasksLeft: Infinity,
+    ...fields,
+  };
 }
 
 function step(
@@ -56,6 +65,18 @@
     expect(planPool({ workers, steps: [permitted], teamRoom: NO_TEAMS }).assignments[0]?.workerId).toBe('b');
   });
 
+  test('keeps lasting tasks off instances that are due for maintenance where another one has room', () => {
+    const workers = [worker('due', 8, { isDue: true }), worker('free', 8)];
+    const place = (tasks: number): readonly string[] =>
+      planPool({
+        workers,
+        steps: [step('s', tasks, { isLongRunning: true, maxPerWorker: 1 })],
+        teamRoom: NO_TEAMS,
+      }).assignments.map(({ workerId }) => workerId);
+    expect(place(1)).toEqual(['free']);
+    expect(place(2)).toEqual(['free', 'due']);
+  });
+
   test('puts a rack-sensitive step on one rack if one has room', () => {
     const workers = [
       worker('a', 3, { rack: 'r1' }),
