Ask the policy of a queue about all workers of a large pool

Cause: a question names 30 workers at most, and always the first 30 of the pool. Where none of these was allowed, a step of a queue with advice never started although others were.

Change: while a step waits, further questions follow about workers that no valid answer covers; tickets of several answers count together.

Before: the new case of placement/advice_book_test.ts finds no ticket for the 66th of 70 workers. After: it does.

--- a/placement/advice_book.ts
+++ b/placement/advice_book.ts
@@ -19,7 +19,10 @@
 /** Pause before a refused question is asked again, in milliseconds. */
 const RETRY_MS = 300;
 
-interface Held {
+/** One answer for a step. */
+interface Answer {
+  /** Workers that were asked about. */
+  readonly workerIds: ReadonlySet<string>;
   readonly tickets: ReadonlyMap<string, string>;
   readonly untilMs: number;
 }
@@ -33,24 +36,34 @@
 }
 
 export class AdviceBook {
-  private readonly held = new Map<string, Held>();
+  private readonly answers = new Map<string, readonly Answer[]>();
   private readonly asked = new Set<string>();
 
   constructor(private readonly options: AdviceBookOptions) {}
 
-  /** Tickets of a step that can still be used, by worker; asks for them if there are none. */
+  /**
+   * Tickets of a step that can still be used, by worker. Asks about workers
+   * that no valid answer covers; called again while the step waits, so that in
+   * the end all are asked about.
+   */
   tickets(step: StepName, rule: AdviceRule, workerIds: readonly string[]): ReadonlyMap<string, string> {
-    const key = `${step.jobId}.${step.occurrence}.${step.step}`;
-    const known = this.held.get(key);
-    if (known !== undefined && this.options.clock.monotonicMs() < known.untilMs) return known.tickets;
-    this.held.delete(key);
-    void this.ask(key, step, rule, workerIds.slice(0, MAX_WORKERS));
-    return NO_TICKETS;
+    const key = stepKey(step);
+    const nowMs = this.options.clock.monotonicMs();
+    const valid = (this.answers.get(key) ?? []).filter(({ untilMs }) => nowMs < untilMs);
+    if (valid.length > 0) this.answers.set(key, valid);
+    else this.answers.delete(key);
+    const open = workerIds.filter((workerId) => !valid.some((answer) => answer.workerIds.has(workerId)));
+    void this.ask(key, step, rule, open.slice(0, MAX_WORKERS));
+    return new Map(valid.flatMap(({ tickets }) => [...tickets]));
   }
 
   /** The ticket for a step on a worker; `null` if there is none. */
-  ticket({ jobId, occurrence, step }: StepName, workerId: string): string | null {
-    return this.held.get(`${jobId}.${occurrence}.${step}`)?.tickets.get(workerId) ?? null;
+  ticket(step: StepName, workerId: string): string | null {
+    for (const { tickets } of this.answers.get(stepKey(step)) ?? []) {
+      const ticket = tickets.get(workerId);
+      if (ticket !== undefined) return ticket;
+    }
+    return null;
   }
 
   private async ask(
@@ -70,10 +83,10 @@
       counters.increment('advice.answered');
       // The validity counts from the answer, which left at the earliest when the question was decided.
       const validMs = answer.validMs > 0 ? answer.validMs : rule.validMs;
-      this.held.set(key, {
-        tickets: answer.tickets,
-        untilMs: sentAtMs + expectedMs + validMs - EXPIRY_MARGIN_MS,
-      });
+      const { tickets } = answer;
+      const untilMs = sentAtMs + expectedMs + validMs - EXPIRY_MARGIN_MS;
+      const known = this.answers.get(key) ?? [];
+      this.answers.set(key, [...known, { workerIds: new Set(workerIds), tickets, untilMs }]);
     } catch (error) {
       if (!(error instanceof AdviceUnavailableError)) throw error;
       counters.increment('advice.unavailable');
@@ -85,4 +98,6 @@
   }
 }
 
-const NO_TICKETS: ReadonlyMap<string, string> = new Map();
+function stepKey({ jobId, occurrence, step }: StepName): string {
+  return `${jobId}.${occurrence}.${step}`;
+}
