Read a table anew when the changes that were missed do not arrive

Cause: a process that the store had not answered for 9 s asked for all changes since then. The operator's row had changed many times meanwhile, each time with up to 64 KB, so that the answer did not arrive within the time limit over a link of 10 Mbit/s, and the same call failed until the history was gone 20 s later. The log of the process names version 14 from 2 s to 23 s, where version 113 was in force since 16.4 s.

Change: after three failed calls in a row a follower reads the table, which holds each row once, by turns with the feed.

--- a/store/table_follower.ts
+++ b/store/table_follower.ts
@@ -5,6 +5,13 @@
 /** Pause after a failed call before the next one, in milliseconds; the configuration has to be in force 2 s after the store is back. */
 const RETRY_MS = 150;
 
+/**
+ * After so many failed calls for changes in a row the table is read instead. It
+ * holds one value of each row, while the changes that were missed may be too
+ * many to arrive within the time limit over a slow link.
+ */
+const FAILURES_BEFORE_READING = 3;
+
 export interface TableFollowerOptions {
   readonly store: RowStore;
   readonly clock: Clock;
@@ -33,7 +40,8 @@
 export class TableFollower {
   private stopped = false;
   private version: number | null = null;
-  private isFailing = false;
+  /** Calls that have failed in a row. */
+  private failures = 0;
 
   constructor(private readonly options: TableFollowerOptions) {}
 
@@ -42,7 +50,7 @@
     while (!this.stopped) {
       const reached = await this.step();
       if (this.isStopped()) return;
-      this.isFailing = !reached;
+      this.failures = reached ? 0 : this.failures + 1;
       this.options.onContact?.(reached);
       if (!reached) await this.options.clock.delay(RETRY_MS);
       else if (this.options.pauseMs !== undefined) await this.options.clock.delay(this.options.pauseMs);
@@ -76,7 +84,7 @@
 
   private async step(): Promise<boolean> {
     try {
-      if (this.version === null) await this.load();
+      if (this.version === null || this.mustRead()) await this.load();
       else await this.follow(this.version);
       return true;
     } catch (error) {
@@ -89,10 +97,15 @@
     }
   }
 
+  /** Both ways are tried by turns, since either may be the one that fails. */
+  private mustRead(): boolean {
+    return this.failures >= FAILURES_BEFORE_READING && this.failures % 2 === 1;
+  }
+
   private async follow(version: number): Promise<void> {
     const { store, table, waitMs } = this.options;
     // After a failure the first answer should show at once that the store is back.
-    const page = await store.changes(table, version, this.isFailing ? 0 : waitMs);
+    const page = await store.changes(table, version, this.failures > 0 ? 0 : waitMs);
     if (this.stopped) return;
     this.version = page.version;
     if (page.changes.length > 0) this.options.onChanges(page.changes, false);
