--- a/store/memory_row_store.ts
+++ b/store/memory_row_store.ts
@@ -40,7 +40,8 @@
 /** The rows of the store, which several {@link MemoryRowStore} clients share. */
 export class MemoryRows {
   private readonly rows = new Map<string, StoredRow>();
-  private history: readonly RowChange[] = [];
+  /** Changes in version order; {@link compact} drops them. */
+  private history: RowChange[] = [];
   private historyStartVersion = 0;
   private version = 0;
 
@@ -55,7 +56,7 @@
       const row = { table, partition, key, version: this.version };
       if (value === null) this.rows.delete(addressKey(row));
       else this.rows.set(addressKey(row), { ...row, value });
-      this.history = [...this.history, { ...row, value }];
+      this.history.push({ ...row, value });
     }
     return { kind: 'committed', version: this.version };
   }
@@ -71,7 +72,8 @@
   changes(table: string, version: number): RowChanges {
     if (version < this.historyStartVersion)
       throw new HistoryCompactedError('The change history has been compacted.');
-    const changes = this.history.filter((change) => change.table === table && change.version > version);
+    const from = this.history.findLastIndex((change) => change.version <= version) + 1;
+    const changes = this.history.slice(from).filter((change) => change.table === table);
     return { changes, version: this.version };
   }
 
