Plan only the pools that changed, and try a demand that fits nowhere once

Cause: every event planned all pools, up to 120 times a second; each pass computed the critical paths of all open jobs again, and under overload tried every waiting step with a constraint against every worker although nothing had become free.

Change: an event plans the pools that it concerns and those in which a team's limit holds steps back; the tick still plans all. Paths are kept until a task of the job changes. A demand for which no worker has enough free capacity is not tried again in the same pass, whatever the step's other constraints.

--- a/placement/placement_leader.ts
+++ b/placement/placement_leader.ts
@@ -113,6 +113,8 @@
   private unixOffsetMs: number | null = null;
   private planTimer: Timer | null = null;
   private tickTimer: Timer | null = null;
+  /** Pools to plan in the next pass; `null` for all. */
+  private changedPoolIds: Set<string> | null = new Set();
   private isStopped = false;
   private isLoaded = false;
 
@@ -273,8 +275,8 @@
     this.loseLeadership('fenced by a later leader');
   }
 
-  override onReady(): void {
-    this.schedulePlan();
+  override onReady(session: WorkerSession): void {
+    this.schedulePlanOf(session.entry.poolId);
   }
 
   override onRunsEnded(session: WorkerSession, endedRuns: readonly ObservedEndedRun[]): void {
@@ -286,7 +288,8 @@
     this.writer.afterCommit(() => {
       session.markRecorded(lastEndNumber);
     });
-    this.schedulePlan();
+    this.schedulePlanOf(session.entry.poolId);
+    for (const { task } of endedRuns) this.schedulePlanOfJob(task.jobId);
   }
 
   override onStartRejected(session: WorkerSession, run: SessionRun, reason: Rejection | 'not_reached'): void {
@@ -367,7 +370,6 @@
       const job = this.state.cancel(jobId);
       if (job !== null) this.resultHandler.stopRuns(job);
     }
-    this.schedulePlan();
   }
 
   private handleJob(value: string): void {
@@ -379,7 +381,10 @@
     if (job === null) return;
     this.state.addInheritedRuns(job);
     const poolId = this.options.rules()?.queues.get(accepted.queueId)?.poolId;
-    if (poolId !== undefined && this.isLoaded) this.demand.recordArrival(job, poolId);
+    if (poolId !== undefined && this.isLoaded) {
+      this.demand.recordArrival(job, poolId);
+      this.schedulePlanOf(poolId);
+    }
     if (progress === undefined) {
       logger.info(LOG_EVENTS.jobDiscovered, {
         jobId: accepted.jobId,
@@ -416,7 +421,25 @@
     if (!this.isStopped && this.resultHandler.handleLostRun(result)) this.schedulePlan();
   }
 
+  /** Schedules a planning pass over all pools. */
   private schedulePlan(): void {
+    this.changedPoolIds = null;
+    this.startPlanTimer();
+  }
+
+  /** Schedules a planning pass over a pool, besides those that are already scheduled. */
+  private schedulePlanOf(poolId: string): void {
+    this.changedPoolIds?.add(poolId);
+    this.startPlanTimer();
+  }
+
+  private schedulePlanOfJob(jobId: string): void {
+    const queueId = this.state.jobs.get(jobId)?.record.job.queueId;
+    const poolId = queueId === undefined ? undefined : this.options.rules()?.queues.get(queueId)?.poolId;
+    if (poolId !== undefined) this.schedulePlanOf(poolId);
+  }
+
+  private startPlanTimer(): void {
     if (this.planTimer !== null || this.isStopped || !this.isLoaded) return;
     this.planTimer = this.options.clock.schedule(PLAN_DELAY_MS, () => {
       this.planTimer = null;
@@ -436,13 +459,16 @@
     if (this.writer.isValid()) void this.sweep.tick();
     const rules = this.options.rules();
     if (rules !== null && this.writer.isValid()) this.supervise(rules);
+    this.changedPoolIds = null;
     this.plan();
   }
 
   private plan(): void {
     const rules = this.options.rules();
     if (rules === null || this.isStopped || !this.writer.isValid()) return;
-    this.placer.plan(rules, this.unixMs());
+    const { changedPoolIds } = this;
+    this.changedPoolIds = new Set();
+    this.placer.plan(rules, this.unixMs(), changedPoolIds);
   }
 
   /**
--- a/placement/plan_request.ts
+++ b/placement/plan_request.ts
@@ -1,6 +1,7 @@
 /** Builds the planner's input for one pool. */
 import { subtractResources, type Resources } from '../model/resources';
 import type { FleetRules, QueueRule } from '../scheduling/fleet_rules';
+import type { JobDefinition } from '../scheduling/job_definition';
 import type { JobRecord, ReadyStep } from '../scheduling/job_record';
 import type { PlanRequest, PlanStep, PlanWorker } from '../scheduling/placement_planner';
 import type { QueueOrder, WaitingStep } from '../scheduling/queue_order';
@@ -28,6 +29,8 @@
   readonly nowMs: number;
   /** Current Unix time by the workers' clocks, against which due times are compared. */
   readonly unixMs: number;
+  /** The pools to look at; `null` for all. */
+  readonly poolIds: ReadonlySet<string> | null;
 }
 
 /** Waiting steps, by pool. */
@@ -37,12 +40,13 @@
   for (const job of options.state.jobs.openJobs()) {
     const queue = options.rules.queues.get(job.record.job.queueId);
     // Jobs of a queue that the operator has removed start no more tasks.
-    if (queue === undefined) continue;
+    if (queue === undefined || options.poolIds?.has(queue.poolId) === false) continue;
     const readySteps = job.record.readySteps(options.unixMs);
     if (readySteps.length === 0) continue;
     const candidates = byPool.get(queue.poolId) ?? [];
     byPool.set(queue.poolId, candidates);
-    for (const step of readySteps) candidates.push(candidateOf(job, queue, step, overShare, options));
+    for (const step of readySteps)
+      candidates.push(candidateOf({ job, queue, step, readySteps, overShare }, options));
   }
   return byPool;
 }
@@ -65,21 +69,62 @@
   return new Set(teams.filter((team) => team.used * weight > used * team.weight).map(({ teamId }) => teamId));
 }
 
+interface FoundStep {
+  readonly job: OpenJob;
+  readonly queue: QueueRule;
+  readonly step: ReadyStep;
+  /** All ready steps of the job. */
+  readonly readySteps: readonly ReadyStep[];
+  readonly overShare: ReadonlySet<string>;
+}
+
+/** Estimated length and work of the steps of an occurrence that are not done. */
+interface RemainingPath {
+  readonly occurrence: number;
+  readonly criticalPathMs: number;
+  readonly work: number;
+}
+
+/**
+ * Paths of jobs, by their ready steps: a job record returns the same array until one of
+ * its tasks changes. Planning passes are more frequent than changes of one job.
+ */
+const remainingPaths = new WeakMap<readonly ReadyStep[], RemainingPath>();
+const wholePathsMs = new WeakMap<JobDefinition, number>();
+
+function wholePathMs(definition: JobDefinition): number {
+  const known = wholePathsMs.get(definition) ?? criticalPathMs(definition, () => true);
+  wholePathsMs.set(definition, known);
+  return known;
+}
+
+function remainingPath(
+  { record }: OpenJob,
+  readySteps: readonly ReadyStep[],
+  occurrence: number,
+): RemainingPath {
+  const known = remainingPaths.get(readySteps);
+  if (known?.occurrence === occurrence) return known;
+  const { definition } = record.job;
+  const isPending = (step: number): boolean => !record.isStepDone(occurrence, step);
+  const path = {
+    occurrence,
+    criticalPathMs: criticalPathMs(definition, isPending),
+    work: totalWork(definition, isPending),
+  };
+  remainingPaths.set(readySteps, path);
+  return path;
+}
+
 function candidateOf(
-  job: OpenJob,
-  queue: QueueRule,
-  readyStep: ReadyStep,
-  overShare: ReadonlySet<string>,
+  { job, queue, step: readyStep, readySteps, overShare }: FoundStep,
   { state, nowMs, unixMs }: CandidateOptions,
 ): Candidate {
   const { record } = job;
   const { definition, queueId } = record.job;
-  const isPending = (step: number): boolean => !record.isStepDone(readyStep.occurrence, step);
-  const expectedMs = state.estimator.expectedMs(
-    queueId,
-    criticalPathMs(definition, () => true),
-  );
-  const remainingMs = state.estimator.expectedMs(queueId, criticalPathMs(definition, isPending));
+  const remaining = remainingPath(job, readySteps, readyStep.occurrence);
+  const expectedMs = state.estimator.expectedMs(queueId, wholePathMs(definition));
+  const remainingMs = state.estimator.expectedMs(queueId, remaining.criticalPathMs);
   const dueAtMs = record.dueAtMs(readyStep.occurrence);
   const startAtMs = dueAtMs === 0 ? job.acceptedAtMs : nowMs + dueAtMs - unixMs;
   return {
@@ -88,7 +133,7 @@
     isLongRunning: readyStep.definition.isLongRunning,
     isFiller: readyStep.definition.isFiller,
     slackMs: startAtMs + queue.stretch * expectedMs + queue.targetLatencyMs - nowMs - remainingMs,
-    remainingWork: totalWork(definition, isPending),
+    remainingWork: remaining.work,
     isOverShare: record.job.teamId !== null && overShare.has(record.job.teamId),
     arrivalNumber: job.arrivalNumber,
     job,
--- a/placement/task_placer.ts
+++ b/placement/task_placer.ts
@@ -51,20 +51,32 @@
   /** Since when a long-running step has waiting tasks that fit on no worker, by step. */
   private readonly unplacedSinceMs = new Map<string, number>();
 
+  /** Pools in which steps wait because their team has reached its limit. */
+  private readonly limitedPoolIds = new Set<string>();
+
   constructor(private readonly options: TaskPlacerOptions) {}
 
-  /** Plans all pools. `unixMs` is the time against which due times of jobs are compared. */
-  plan(rules: FleetRules, unixMs: number): void {
+  /**
+   * Plans the given pools, or all of them for `null`, and the pools in which a team's
+   * limit has held steps back, since a run that ends anywhere may have made room under it.
+   * `unixMs` is the time against which due times of jobs are compared.
+   */
+  plan(rules: FleetRules, unixMs: number, changedPoolIds: ReadonlySet<string> | null): void {
     const { state, clock } = this.options;
     const nowMs = clock.monotonicMs();
-    const byPool = candidatesByPool({ state, rules, nowMs, unixMs });
+    const poolIds = changedPoolIds === null ? null : new Set([...changedPoolIds, ...this.limitedPoolIds]);
+    const byPool = candidatesByPool({ state, rules, nowMs, unixMs, poolIds });
+    for (const poolId of poolIds ?? [...this.limitedPoolIds])
+      if (!byPool.has(poolId)) this.limitedPoolIds.delete(poolId);
     for (const [poolId, candidates] of byPool) this.planPool(poolId, candidates, rules, nowMs);
   }
 
   /** Records the waiting steps, from which the desired pool sizes are computed. */
   recordWaiting(rules: FleetRules, unixMs: number): void {
     const { state, clock, demand } = this.options;
-    demand.recordWaiting(candidatesByPool({ state, rules, nowMs: clock.monotonicMs(), unixMs }));
+    demand.recordWaiting(
+      candidatesByPool({ state, rules, nowMs: clock.monotonicMs(), unixMs, poolIds: null }),
+    );
   }
 
   /** Starts a second run of each speculative task that takes unusually long. */
@@ -91,7 +103,9 @@
       nowMs,
       allowedWorkers: (candidate) => this.allowedWorkers(candidate, workerIds),
     });
-    const { assignments, unplaced } = planPool(request);
+    const { assignments, unplaced, isLimitReached } = planPool(request);
+    if (isLimitReached) this.limitedPoolIds.add(poolId);
+    else this.limitedPoolIds.delete(poolId);
     this.preemptForLongRunning(candidates, new Set(unplaced), poolId, nowMs);
     if (assignments.length === 0) return;
     const byStep = new Map(candidates.map((candidate) => [candidate.stepKey, candidate]));
--- a/scheduling/placement_planner.ts
+++ b/scheduling/placement_planner.ts
@@ -60,6 +60,8 @@
   readonly assignments: readonly Assignment[];
   /** Keys of the steps that have tasks which were not placed. */
   readonly unplaced: readonly string[];
+  /** Whether a step was not placed because its team has reached its limit. */
+  readonly isLimitReached: boolean;
 }
 
 /**
@@ -88,10 +90,11 @@
   private readonly assignments: Assignment[] = [];
   private readonly unplaced: string[] = [];
   /**
-   * Demands of steps without constraints that fitted on no worker; demands that are at
-   * least as large need not be tried.
+   * Demands for which no worker had enough free capacity; demands that are at least as
+   * large need not be tried.
    */
   private readonly unplaceableDemands: Resources[] = [];
+  private isLimitReached = false;
 
   constructor({ workers, teamHeadroom }: PlanRequest) {
     this.workers = new Map(workers.map((worker) => [worker.workerId, worker]));
@@ -99,7 +102,8 @@
   }
 
   result(): Plan {
-    return { assignments: this.assignments, unplaced: this.unplaced };
+    const { assignments, unplaced, isLimitReached } = this;
+    return { assignments, unplaced, isLimitReached };
   }
 
   place(step: PlanStep): void {
@@ -153,34 +157,26 @@
     rack: string | null,
   ): string | null {
     const demand = occupiedBy(step.definition);
-    if (!this.isWithinTeamLimit(step)) return null;
+    if (!this.isWithinTeamLimit(step)) {
+      this.isLimitReached = true;
+      return null;
+    }
     if (this.unplaceableDemands.some((unplaceable) => fitsInto(unplaceable, demand))) return null;
     let best: PlanWorker | null = null;
     let bestCost = Infinity;
+    let hasFreeWorker = false;
     for (const worker of this.workers.values()) {
+      if (worker.maxNewTasks <= 0 || !fitsInto(demand, worker.free)) continue;
+      hasFreeWorker = true;
       if (rack !== null && worker.rack !== rack) continue;
-      if (!this.canRun(worker, step, counts, demand)) continue;
+      if (!canRun(worker, step, counts)) continue;
       const cost = placementCost(worker, step, counts, demand);
       if (cost < bestCost) [best, bestCost] = [worker, cost];
     }
-    if (best === null && rack === null && isUnconstrained(step)) this.unplaceableDemands.push(demand);
+    if (!hasFreeWorker) this.unplaceableDemands.push(demand);
     return best?.workerId ?? null;
   }
 
-  private canRun(
-    worker: PlanWorker,
-    step: PlanStep,
-    counts: ReadonlyMap<string, number>,
-    demand: Resources,
-  ): boolean {
-    const { requiredLabel, maxPerWorker, dataRack } = step.definition;
-    if (worker.maxNewTasks <= 0 || !fitsInto(demand, worker.free)) return false;
-    if (requiredLabel !== null && !worker.labels.includes(requiredLabel)) return false;
-    if (maxPerWorker !== null && (counts.get(worker.workerId) ?? 0) >= maxPerWorker) return false;
-    if (step.allowedWorkerIds !== null && !step.allowedWorkerIds.has(worker.workerId)) return false;
-    return dataRack === null || step.mayRunRemote || worker.rack === dataRack;
-  }
-
   private isWithinTeamLimit({ teamId, definition }: PlanStep): boolean {
     const headroom = teamId === null ? undefined : this.teamHeadroom.get(teamId);
     return headroom === undefined || fitsInto(definition.demand, headroom);
@@ -213,9 +209,13 @@
   }
 }
 
-function isUnconstrained({ definition, allowedWorkerIds }: PlanStep): boolean {
-  const { requiredLabel, maxPerWorker, dataRack } = definition;
-  return requiredLabel === null && maxPerWorker === null && dataRack === null && allowedWorkerIds === null;
+/** Whether the step's constraints other than its demand permit a worker. */
+function canRun(worker: PlanWorker, step: PlanStep, counts: ReadonlyMap<string, number>): boolean {
+  const { requiredLabel, maxPerWorker, dataRack } = step.definition;
+  if (requiredLabel !== null && !worker.labels.includes(requiredLabel)) return false;
+  if (maxPerWorker !== null && (counts.get(worker.workerId) ?? 0) >= maxPerWorker) return false;
+  if (step.allowedWorkerIds !== null && !step.allowedWorkerIds.has(worker.workerId)) return false;
+  return dataRack === null || step.mayRunRemote || worker.rack === dataRack;
 }
 
 /** Cost of a run on a rack other than that of its data. It exceeds any difference in free capacity. */
