Leave out malformed entries instead of ending the process

Cause: a WireFormatError of a worker's response, of the list of instances or of the store's response, and a RowFormatError of a job's row, reached the handler of unhandled rejections, which ends the process; as the row stays, the next leader ended too. One malformed route kept the whole configuration out of force. After an error that was no failure of the store, GroupCommitWriter wrote no further rows of its partition.

Change: a response that cannot be decoded counts as none. While a worker's report lacks entries, no run of it counts as lost or stuck for not being listed. A job with an undecodable row is not placed.

Errors of the project's own code still end the process.

--- a/cli/store_status_test.ts
+++ b/cli/store_status_test.ts
@@ -21,6 +21,7 @@
   override decodeOperatorRow(): OperatorRow {
     return {
       kind: 'rules',
+      unusableEntries: [],
       rules: {
         version: 7,
         queues: new Map([[QUEUE.queueId, QUEUE]]),
--- a/daemon/operator_plugin.ts
+++ b/daemon/operator_plugin.ts
@@ -5,7 +5,7 @@
 import { UnusableRowError } from '../scheduling/platform_row_codec';
 import { CurrentRules } from '../scheduling/current_rules';
 import type { MaintenanceWave } from '../scheduling/maintenance_wave';
-import { LOGGER } from '../settings/base_capabilities';
+import { COUNTERS, LOGGER } from '../settings/base_capabilities';
 import type { RowChange } from '../store/row_store';
 import { TableFollower } from '../store/table_follower';
 import { LOG_EVENTS } from '../telemetry/events_catalogue';
@@ -74,6 +74,12 @@
       const row = kernel.use(PLATFORM_ROW_CODEC).decodeOperatorRow(key, value);
       if (row.kind === 'wave') this.waves.set(row.wave.waveNumber, row.wave);
       if (row.kind !== 'rules' || !this.rules.apply(row.rules)) return;
+      const [reason] = row.unusableEntries;
+      if (reason !== undefined) {
+        const count = row.unusableEntries.length;
+        kernel.use(COUNTERS).increment('operator.entry_unusable', undefined, count);
+        logger.warn(LOG_EVENTS.operatorEntriesUnusable, { key, count, reason });
+      }
       logger.info(LOG_EVENTS.rulesApplied, { rulesVersion: row.rules.version, rowVersion: version });
     } catch (error) {
       if (!(error instanceof UnusableRowError)) throw error;
--- a/placement/_fake_worker_gateway.ts
+++ b/placement/_fake_worker_gateway.ts
@@ -36,6 +36,8 @@
   /** All speeds that were set, in order, in percent. */
   readonly speeds: number[] = [];
   endedRuns: readonly EndedRun[] = [];
+  /** Whether the entries of running tasks cannot be decoded. */
+  hidesRuns = false;
   acknowledgedEndNumber = 0;
   highestToken = 0;
   leaseUntilMs = 0;
@@ -81,14 +83,21 @@
     this.expireLease();
     const rejected = this.checkToken(command);
     if (rejected !== null)
-      return { ...this.respond(rejected), workerStartedAtMs: null, running: [], ended: [] };
+      return {
+        ...this.respond(rejected),
+        unusableEntries: 0,
+        workerStartedAtMs: null,
+        running: [],
+        ended: [],
+      };
     if (command.leaseUntilMs !== null) this.extendLease(command.leaseUntilMs);
     this.acknowledgedEndNumber = Math.max(this.acknowledgedEndNumber, command.acknowledgedEndNumber);
     return {
       ...this.respond(null),
+      unusableEntries: this.hidesRuns ? 1 : 0,
       workerStartedAtMs: this.entry.startedAtMs,
       // Every run is ready to serve and makes progress.
-      running: [...this.runs.values()].map((run) => ({
+      running: (this.hidesRuns ? [] : [...this.runs.values()]).map((run) => ({
         ...run,
         progressPercent: 100 + this.nowMs() / 1_000,
         load: null,
--- a/placement/_placement_harness.ts
+++ b/placement/_placement_harness.ts
@@ -155,6 +155,10 @@
     await this.writeEntry(entry.workerId, JSON.stringify(entry));
   }
 
+  async writeRow(row: RowWrite): Promise<void> {
+    await this.operatorStore.transact({ conditions: [], writes: [row] });
+  }
+
   async writeEntry(workerId: string, value: string | null): Promise<void> {
     await this.operatorStore.transact({
       conditions: [],
--- a/placement/placement_leader.ts
+++ b/placement/placement_leader.ts
@@ -12,6 +12,7 @@
   JOB_TABLE,
   PLACEMENT_PARTITION,
   PROGRESS_TABLE,
+  RowFormatError,
 } from '../scheduling/job_rows';
 import { UnusableRowError, type PlatformRowCodec } from '../scheduling/platform_row_codec';
 import type { PlacementAdvice } from '../scheduling/placement_advice';
@@ -107,6 +108,8 @@
   private readonly workerFollower: TableFollower;
   /** Progress that earlier leaders stored, by job, until all jobs are loaded. */
   private readonly inheritedProgress = new Map<string, JobProgress>();
+  /** Jobs of which a row cannot be decoded. */
+  private readonly unusableJobIds = new Set<string>();
   private readonly reporter: LeaderReporter;
   private readonly sweep: EndedJobSweep;
   /** See {@link readUnixOffset}; read again on each tick. */
@@ -221,7 +224,10 @@
   async start(): Promise<void> {
     const { store, clock } = this.options;
     const progress = await store.read({ table: PROGRESS_TABLE, partition: PLACEMENT_PARTITION });
-    for (const { key, value } of progress.rows) this.inheritedProgress.set(key, decodeProgress(value));
+    for (const { key, value } of progress.rows) {
+      const decoded = this.decodeRow(key, () => decodeProgress(value));
+      if (decoded !== null) this.inheritedProgress.set(key, decoded);
+    }
     await this.instanceController.load();
     await this.jobFollower.load();
     await this.workerFollower.load();
@@ -333,6 +339,11 @@
     );
   }
 
+  override onUnusableEntries({ worker: { workerId } }: WorkerSession, count: number): void {
+    this.options.counters.increment('workers.report_unusable');
+    this.options.logger.warn(LOG_EVENTS.workerReportUnusable, { workerId, count });
+  }
+
   override onReplaced(session: WorkerSession): void {
     this.fleet.remove(session);
     this.schedulePlan();
@@ -364,7 +375,7 @@
       // Only the leader removes rows, and by then it has recorded that the job ended.
       if (value === null) continue;
       if (jobId !== null) cancelled.push(jobId);
-      else this.handleJob(value);
+      else this.handleJob(key, value);
     }
     for (const jobId of cancelled) {
       const job = this.state.cancel(jobId);
@@ -372,9 +383,10 @@
     }
   }
 
-  private handleJob(value: string): void {
+  private handleJob(key: string, value: string): void {
     const { clock, logger } = this.options;
-    const accepted = decodeJob(value);
+    const accepted = this.decodeRow(key, () => decodeJob(value));
+    if (accepted === null || this.unusableJobIds.has(key)) return;
     const ageMs = this.isLoaded ? 0 : Math.max(0, clock.wallMs() - accepted.acceptedAtMs);
     const progress = this.inheritedProgress.get(accepted.jobId);
     const job = this.state.jobs.add(accepted, progress, clock.monotonicMs() - ageMs);
@@ -394,6 +406,20 @@
     }
   }
 
+  /** Decodes a row of a job; returns `null` for one that a later version wrote or that is corrupted. */
+  private decodeRow<T>(jobId: string, decode: () => T): T | null {
+    try {
+      return decode();
+    } catch (error) {
+      if (!(error instanceof RowFormatError)) throw error;
+      // Without its progress the job might run again; the next version of this system can read it.
+      this.unusableJobIds.add(jobId);
+      this.options.counters.increment('placement.job_row_unusable');
+      this.options.logger.warn(LOG_EVENTS.jobRowUnusable, { jobId, reason: error.message });
+      return null;
+    }
+  }
+
   private handleWorkerChanges(changes: readonly RowChange[], isComplete: boolean): void {
     if (isComplete) {
       const listedIds = new Set(changes.map(({ key }) => key));
@@ -498,7 +524,7 @@
 
   private stopStuckRuns(session: WorkerSession, nowMs: number): void {
     const { workerId } = session.worker;
-    if (!session.isReachable()) return;
+    if (!session.isReachable() || !session.isReportComplete()) return;
     for (const [run, observed] of observedRuns(session, this.state)) {
       if (!isStuck(run, observed, this.state, nowMs)) continue;
       this.health.recordResult(workerId, run.task.jobId, true, nowMs);
--- a/placement/placement_leader_test.ts
+++ b/placement/placement_leader_test.ts
@@ -42,6 +42,39 @@
     expect(await harness.state(JOB)).toBe('completed');
   });
 
+  test('a run that a worker reports in an undecodable entry is neither lost nor started again', async () => {
+    const harness = new PlacementHarness();
+    const worker = await harness.addWorker('w1');
+    const other = await harness.addWorker('w2');
+    void harness.process('a').run();
+    await harness.submit(JOB, [STEP]);
+    await harness.advance(200);
+    const runner = worker.starts.length > 0 ? worker : other;
+    runner.hidesRuns = true;
+    await harness.advance(8_000);
+    expect([...worker.starts, ...other.starts]).toEqual(['0.0.0#1']);
+    runner.hidesRuns = false;
+    runner.finishAll();
+    await harness.advance(500);
+    expect(await harness.state(JOB)).toBe('completed');
+  });
+
+  test('the undecodable row of a job does not stop the other jobs', async () => {
+    const harness = new PlacementHarness();
+    const worker = await harness.addWorker('w1');
+    void harness.process('a').run();
+    await harness.advance(200);
+    await harness.writeRow({
+      table: 'jobs',
+      partition: '0',
+      key: '00000000000000ff',
+      value: '{"encoding":9}',
+    });
+    await harness.submit(JOB, [STEP]);
+    await harness.advance(200);
+    expect(worker.starts).toEqual(['0.0.0#1']);
+  });
+
   test('a successor receives the end of a run that was not recorded, and the task does not run again', async () => {
     const harness = new PlacementHarness();
     const worker = await harness.addWorker('w1');
--- a/placement/session_listener.ts
+++ b/placement/session_listener.ts
@@ -23,6 +23,8 @@
   /** The run no longer exists, and its outcome will never be known. */
   abstract onRunLost(session: WorkerSession, run: SessionRun): void;
   abstract onProgress(session: WorkerSession, activeRuns: readonly ActiveRun[]): void;
+  /** A worker's report contains entries that cannot be decoded; called when their number changes. */
+  abstract onUnusableEntries(session: WorkerSession, count: number): void;
   /** Another incarnation has replaced this one. */
   abstract onReplaced(session: WorkerSession): void;
 }
--- a/placement/worker_session.ts
+++ b/placement/worker_session.ts
@@ -85,6 +85,8 @@
   private acknowledgedEndNumber = 0;
   /** Keys of runs on this worker that are not recorded; they use capacity that the leader does not account for. */
   private readonly unrecordedRuns = new Set<string>();
+  /** Number of undecodable entries in the worker's latest report. */
+  private unusableEntries = 0;
   private wakeUp: (() => void) | null = null;
   private failingSinceMs: number | null = null;
   private isPolledFrequently = false;
@@ -138,6 +140,11 @@
     );
   }
 
+  /** Whether the worker's latest report lists all of its runs. */
+  isReportComplete(): boolean {
+    return this.unusableEntries === 0;
+  }
+
   isReachable(): boolean {
     return this.hasAcceptedToken && this.failureCount === 0;
   }
@@ -392,12 +399,20 @@
     this.acknowledgedEndNumber = Math.max(this.acknowledgedEndNumber, acknowledgedEndNumber);
     const reportedKeys = this.handleActiveRuns(response.running);
     this.handleEndedRuns(response.ended);
-    if (response.ended.length < MAX_ENDED_RUNS) this.resolveMissingRuns(reportedKeys, sentAtMs);
+    this.recordUnusableEntries(response.unusableEntries);
+    if (response.ended.length < MAX_ENDED_RUNS && response.unusableEntries === 0)
+      this.resolveMissingRuns(reportedKeys, sentAtMs);
     this.markReady();
     listener.onProgress(this, response.running);
     return true;
   }
 
+  private recordUnusableEntries(count: number): void {
+    if (count === this.unusableEntries) return;
+    this.unusableEntries = count;
+    this.options.listener.onUnusableEntries(this, count);
+  }
+
   private markReady(): void {
     if (this.hasAcceptedToken) return;
     this.hasAcceptedToken = true;
--- a/scheduling/platform_row_codec.ts
+++ b/scheduling/platform_row_codec.ts
@@ -6,7 +6,12 @@
 
 /** Content of a row that the operator wrote. */
 export type OperatorRow =
-  | { readonly kind: 'rules'; readonly rules: FleetRules }
+  | {
+      readonly kind: 'rules';
+      readonly rules: FleetRules;
+      /** Why entries of the configuration were left out. */
+      readonly unusableEntries: readonly string[];
+    }
   | { readonly kind: 'wave'; readonly wave: MaintenanceWave }
   | { readonly kind: 'unknown' };
 
--- a/scheduling/worker_gateway.ts
+++ b/scheduling/worker_gateway.ts
@@ -99,6 +99,11 @@
   readonly workerStartedAtMs: number | null;
   readonly running: readonly ActiveRun[];
   readonly ended: readonly EndedRun[];
+  /**
+   * Number of entries that could not be decoded and are left out; with any, a run that
+   * is not listed may still exist.
+   */
+  readonly unusableEntries: number;
 }
 
 /** The command did not reach the worker: not applied; safe to retry. */
--- a/store/group_commit_writer.ts
+++ b/store/group_commit_writer.ts
@@ -84,8 +84,10 @@
       for (const { resolve } of batch) resolve(true);
       return [];
     } catch (error) {
-      if (!isStoreFailure(error)) throw error;
-      return this.settleFailure(batch, error instanceof StoreOutcomeUnknownError);
+      if (isStoreFailure(error)) return this.settleFailure(batch, error instanceof StoreOutcomeUnknownError);
+      // Only these callers fail; rows that arrive later are still written.
+      for (const { reject } of batch) reject(error);
+      return [];
     }
   }
 
