Expect a burst at its onset instead of following its backlog

A worker that had registered was read up to 0.4 s later, since each read was followed by that pause.

Change: BurstForecast recognizes the onset from the first arrivals (a Poisson test against the rate outside of bursts, one false alarm in about 20 minutes at a constant rate) and expects, for the 3 s that instances need, the height of the pool's earlier bursts, before its first one that of other pools in proportion, and before any the size that the operator had provisioned. What was learned is one row a pool, so that the next leader knows it. The pause between reads of the workers' list is 0.1 s.

--- a/placement/instance_controller.ts
+++ b/placement/instance_controller.ts
@@ -95,6 +95,16 @@
     );
   }
 
+  /** Number of instances of each pool other than spare ones; empty before the instances are known. */
+  instancesByPool(rules: FleetRules): ReadonlyMap<string, number> {
+    const counts = new Map<string, number>();
+    for (const instance of this.directory.all()) {
+      const poolId = this.directory.effectivePoolId(instance);
+      if (rules.pools.get(poolId)?.spare === false) increment(counts, poolId);
+    }
+    return counts;
+  }
+
   /** Whether an instance still has to be maintained for an open wave. */
   isDueForMaintenance(instanceId: string): boolean {
     return this.dueForWave.has(instanceId);
--- a/placement/placement_leader.ts
+++ b/placement/placement_leader.ts
@@ -31,6 +31,8 @@
 import { PoolDemandTracker } from './pool_demand';
 import { RunResultHandler } from './run_result_handler';
 import { isStuck, observedRuns } from './straggler_detection';
+import { BurstForecast } from '../scheduling/burst_forecast';
+import { BurstMemoryKeeper } from './burst_memory';
 import { WorkerHealth } from './worker_health';
 import { AdviceCache } from './advice_cache';
 import { EndedJobSweep } from './ended_job_sweep';
@@ -50,7 +52,7 @@
  * Pause between two calls for changed workers, in milliseconds. Each worker writes its
  * entry every 1.5 s, and calls cost money.
  */
-const WORKER_FEED_PAUSE_MS = 400;
+const WORKER_FEED_PAUSE_MS = 100;
 const WORKER_FEED_WAIT_MS = 1_000;
 
 /**
@@ -102,6 +104,7 @@
   private readonly health = new WorkerHealth();
   private readonly resultHandler: RunResultHandler;
   private readonly demand: PoolDemandTracker;
+  private readonly burstMemory: BurstMemoryKeeper;
   private readonly instanceController: InstanceController;
   private readonly placer: TaskPlacer;
   private readonly jobFollower: TableFollower;
@@ -152,7 +155,9 @@
       fleet: this.fleet,
       health: this.health,
     });
-    this.demand = new PoolDemandTracker({ clock, state: this.state, rules });
+    const forecast = new BurstForecast();
+    this.burstMemory = new BurstMemoryKeeper({ store, writer: this.writer, forecast });
+    this.demand = new PoolDemandTracker({ clock, state: this.state, rules, forecast });
     this.reporter = new LeaderReporter({
       ...options,
       writer: this.writer,
@@ -229,6 +234,7 @@
       if (decoded !== null) this.inheritedProgress.set(key, decoded);
     }
     await this.instanceController.load();
+    await this.burstMemory.load();
     await this.jobFollower.load();
     await this.workerFollower.load();
     if (this.hasStopped()) return;
@@ -509,6 +515,7 @@
       this.options.logger.warn(LOG_EVENTS.workerQuarantined, { workerId });
     }
     this.placer.recordWaiting(rules, this.unixMs());
+    this.burstMemory.update(this.instanceController.instancesByPool(rules));
     this.demand.update(rules, meanCapacity(this.fleet), poolUsage(this.fleet, this.state));
     this.instanceController.tick(rules);
     const drainingWorkerIds: string[] = [];
--- a/placement/pool_demand.ts
+++ b/placement/pool_demand.ts
@@ -5,6 +5,7 @@
 import { isLongRunning, occupiedBy } from '../scheduling/job_definition';
 import { isEnded } from '../scheduling/job_progress';
 import type { PlacementState } from './placement_state';
+import type { DemandForecast } from '../scheduling/burst_forecast';
 import { remainingUnder, type Candidate } from './plan_request';
 import { ArrivalRateMeter } from './arrival_rate_meter';
 import { totalWork } from './run_time_estimator';
@@ -90,6 +91,7 @@
   readonly clock: Clock;
   readonly state: PlacementState;
   readonly rules: () => FleetRules | null;
+  readonly forecast: DemandForecast;
 }
 
 /** Number of workers of a pool, and the resources that are used on them. */
@@ -119,6 +121,7 @@
     const work = totalWork(definition, () => true);
     const meter = this.meters.get(poolId) ?? new ArrivalRateMeter();
     this.meters.set(poolId, meter);
+    this.options.forecast.recordArrival(poolId, this.options.clock.monotonicMs());
     meter.recordArrival(
       this.options.clock.monotonicMs(),
       this.options.state.estimator.expectedMs(queueId, work),
@@ -171,13 +174,14 @@
       this.updateAllowance(poolId, workers, nowMs);
       const arrivingProcessors = this.meters.get(poolId)?.arrivingProcessors(nowMs) ?? 0;
       const usedAndWaiting = addResources(used, this.backlog(poolId));
+      const arrivingInstances = withHeadroom(arrivingProcessors / meanCapacity.processors);
       const instances = Math.max(
-        dominantShare(usedAndWaiting, meanCapacity),
-        arrivingProcessors / meanCapacity.processors,
+        withHeadroom(dominantShare(usedAndWaiting, meanCapacity)),
+        arrivingInstances,
       );
-      // Infinite or NaN for a resource that no instance offers, and before any worker is known.
-      const withHeadroom = Number.isFinite(instances) ? Math.ceil(instances * (1 + HEADROOM)) : 0;
-      this.recordSize(poolId, Math.max(this.minInstances(poolId), withHeadroom), nowMs);
+      const measured = { instances, arrivingInstances };
+      const expected = this.options.forecast.expectedInstances(poolId, measured, nowMs);
+      this.recordSize(poolId, Math.max(this.minInstances(poolId), expected), nowMs);
     }
   }
 
@@ -236,6 +240,11 @@
   }
 }
 
+/** 0 if the number is infinite or NaN: for a resource that no instance offers, and before any worker is known. */
+function withHeadroom(instances: number): number {
+  return Number.isFinite(instances) ? Math.ceil(instances * (1 + HEADROOM)) : 0;
+}
+
 function multiply({ processors, memoryBytes, accelerators }: Resources, count: number): Resources {
   return {
     processors: processors * count,
--- a/placement/pool_demand_test.ts
+++ b/placement/pool_demand_test.ts
@@ -1,4 +1,5 @@
 /** Guards against pools that are too small for their tasks although they have enough processors in total. */
+import { FollowingForecast } from '../scheduling/burst_forecast';
 import { VirtualClock } from '../kernel/virtual_clock';
 import { NO_RESOURCES, type Resources } from '../model/resources';
 import type { FleetRules } from '../scheduling/fleet_rules';
@@ -35,7 +36,7 @@
     undefined,
     0,
   );
-  return new PoolDemandTracker({ clock, state, rules: () => RULES });
+  return new PoolDemandTracker({ clock, state, rules: () => RULES, forecast: new FollowingForecast() });
 }
 
 const FRAGMENTED_MS = 1_000;
--- a/store/group_commit_writer.ts
+++ b/store/group_commit_writer.ts
@@ -86,7 +86,8 @@
     } catch (error) {
       if (isStoreFailure(error)) return this.settleFailure(batch, error instanceof StoreOutcomeUnknownError);
       // Only these callers fail; rows that arrive later are still written.
-      for (const { reject } of batch) reject(error);
+      const reason = error instanceof Error ? error : new Error(String(error));
+      for (const { reject } of batch) reject(reason);
       return [];
     }
   }
