Do not count moves of instances as maintenance of their wave

An instance whose maintenance had begun and that was being moved to another pool counted as down for the wave, so that the wave's limit of 45 was reached without any maintenance. At its end 12 instances with long-running tasks were left, which leave an instance only a few at a time.

Change: a pending command has a kind, and only maintenance counts; one whose outcome is unknown counts too, whether the wave has recorded it or not. Instances with long-running tasks are drained once 60 % of the time limit is left. A line a second says what a wave waits for (event 728).

The new test of instance_controller_test.ts fails on the code before.

--- a/placement/instance_controller.ts
+++ b/placement/instance_controller.ts
@@ -17,7 +17,7 @@
 import type { Counters } from '../telemetry/counters';
 import { LOG_EVENTS } from '../telemetry/events_catalogue';
 import type { Logger } from '../telemetry/logger';
-import { InstanceDirectory } from './instance_directory';
+import { InstanceDirectory, type CommandKind } from './instance_directory';
 import type { FencedWriter } from './fenced_writer';
 import type { PlacementState } from './placement_state';
 import type { PoolDemandTracker } from './pool_demand';
@@ -40,6 +40,8 @@
 /** Backoff before an instance gets another command after one was rejected or timed out, in milliseconds. */
 const COMMAND_RETRY_MS = 700;
 
+const WAVE_LOG_INTERVAL_MS = 1_000;
+
 export interface InstanceControllerOptions {
   readonly clock: Clock;
   readonly store: RowStore;
@@ -66,6 +68,7 @@
   /** Instances of open waves whose maintenance has not begun. */
   private readonly dueForWave = new Set<string>();
   private drainingForMove: ReadonlySet<string> = new Set();
+  private readonly waveLoggedAtMs = new Map<number, number>();
   private readonly retryAtMs = new Map<string, number>();
   private readonly commandsInFlight = new Set<string>();
   /** Number of instances that are up and stay in their pool, by pool. */
@@ -160,15 +163,46 @@
     for (const id of remaining) this.dueForWave.add(id);
     const { maintain, drain } = planWave({
       remaining: remaining.map((id) => this.waveInstance(id, rules)),
-      downCount: wave.instanceIds.filter((id) => this.isDownForWave(id, begun)).length,
+      downCount: wave.instanceIds.filter((id) => this.isDownForWave(id)).length,
       maxConcurrent: wave.maxConcurrent,
       timeLeftMs: progress.orderedAtMs + wave.timeLimitMs - this.options.clock.wallMs(),
+      timeLimitMs: wave.timeLimitMs,
       expectedDownMs: EXPECTED_MAINTENANCE_MS,
     });
     for (const id of drain) this.drainingForWave.add(id);
+    this.logWave(wave, remaining);
     for (const id of maintain) void this.maintain(id, wave);
   }
 
+  /** Logs, at most once a second, why instances of a wave have not begun their maintenance. */
+  private logWave({ waveNumber }: MaintenanceWave, remaining: readonly string[]): void {
+    const nowMs = this.options.clock.monotonicMs();
+    if (nowMs - (this.waveLoggedAtMs.get(waveNumber) ?? -Infinity) < WAVE_LOG_INTERVAL_MS) return;
+    this.waveLoggedAtMs.set(waveNumber, nowMs);
+    const instances = remaining.flatMap((id) => this.directory.get(id) ?? []);
+    const longRunning = instances.filter(
+      ({ workerId }) => this.options.state.longRunningCountOn(workerId) > 0,
+    );
+    this.options.logger.info(LOG_EVENTS.waveProgress, {
+      waveNumber,
+      remaining: remaining.length,
+      notUp: instances.filter(({ state }) => state !== 'up').length,
+      busy: instances.filter(({ instanceId }) => this.runCount(instanceId) > 0).length,
+      withLongRunningTasks: longRunning.length,
+      draining: remaining.filter((id) => this.drainingForWave.has(id)).length,
+      blockedByCommand: remaining.filter((id) => this.isCommandBlocked(id)).length,
+      examples: instances.slice(0, 3).map(({ instanceId, poolId }) => [instanceId, poolId]),
+    });
+  }
+
+  private isCommandBlocked(instanceId: string): boolean {
+    return (
+      this.commandsInFlight.has(instanceId) ||
+      this.directory.hasPendingCommand(instanceId) ||
+      this.isBackingOff(instanceId)
+    );
+  }
+
   private progressOf(wave: MaintenanceWave): WaveProgress {
     const known = this.waveProgress.get(wave.waveNumber);
     if (known !== undefined) return known;
@@ -189,17 +223,16 @@
   private waveInstance(instanceId: string, rules: FleetRules): WaveInstance {
     const instance = this.directory.get(instanceId);
     const isDispensable = instance !== undefined && this.isDispensable(instance, rules);
-    const isCommandBlocked =
-      this.commandsInFlight.has(instanceId) ||
-      this.directory.hasPendingCommand(instanceId) ||
-      this.isBackingOff(instanceId);
+    const isCommandBlocked = this.isCommandBlocked(instanceId);
     const runCount = this.runCount(instanceId);
+    const hasLongRunningTasks = this.options.state.longRunningCountOn(instance?.workerId ?? '') > 0;
     const isDraining = this.drainingForWave.has(instanceId) || this.drainingForMove.has(instanceId);
     return {
       instanceId,
       isUp: instance?.state === 'up' && !isCommandBlocked,
       isDispensable,
       runCount,
+      hasLongRunningTasks,
       isDraining,
     };
   }
@@ -212,9 +245,8 @@
   }
 
   /** Whether an instance is down for the wave, or may be, since the outcome of its command is not known yet. */
-  private isDownForWave(id: string, begun: ReadonlySet<string>): boolean {
-    if (this.directory.get(id)?.state === 'upkeep') return true;
-    return this.commandsInFlight.has(id) || (begun.has(id) && this.directory.hasPendingCommand(id));
+  private isDownForWave(id: string): boolean {
+    return this.directory.get(id)?.state === 'upkeep' || this.directory.hasPendingMaintenance(id);
   }
 
   private resizePools(rules: FleetRules): void {
@@ -246,10 +278,7 @@
   private toSizedInstance(instance: InstanceStatus, rules: FleetRules): SizedInstance {
     const { instanceId, poolId, workerId } = instance;
     const isSpare = rules.pools.get(poolId)?.spare === true;
-    const isCommandBlocked =
-      this.commandsInFlight.has(instanceId) ||
-      this.directory.hasPendingCommand(instanceId) ||
-      this.isBackingOff(instanceId);
+    const isCommandBlocked = this.isCommandBlocked(instanceId);
     const isInWave = this.drainingForWave.has(instanceId);
     const isSpareOrReachable = isSpare || this.options.fleet.get(workerId)?.isReachable() === true;
     return {
@@ -279,7 +308,7 @@
 
   private async maintain(instanceId: string, wave: MaintenanceWave): Promise<void> {
     const poolId = this.directory.get(instanceId)?.poolId ?? '';
-    const result = await this.sendCommand(instanceId, poolId, () =>
+    const result = await this.sendCommand(instanceId, 'maintain', poolId, () =>
       this.options.operations.maintain(instanceId, wave.waveNumber, this.options.issuer),
     );
     this.options.counters.increment('instances.maintain', result ?? 'unanswered');
@@ -290,7 +319,7 @@
   }
 
   private async move(instanceId: string, poolId: string): Promise<void> {
-    const result = await this.sendCommand(instanceId, poolId, () =>
+    const result = await this.sendCommand(instanceId, 'move', poolId, () =>
       this.options.operations.move(instanceId, poolId, this.options.issuer),
     );
     this.options.counters.increment('instances.move', result ?? 'unanswered');
@@ -303,13 +332,14 @@
    */
   private async sendCommand(
     instanceId: string,
+    kind: CommandKind,
     poolId: string,
     send: () => Promise<InstanceCommandResult>,
   ): Promise<InstanceCommandResult | null> {
     const { clock, writer, onFenced } = this.options;
     if (this.commandsInFlight.has(instanceId) || !writer.isValid()) return null;
     this.commandsInFlight.add(instanceId);
-    this.directory.recordCommand(instanceId, poolId);
+    this.directory.recordCommand(instanceId, kind, poolId);
     try {
       const result = await send();
       if (result === 'fenced') onFenced();
--- a/placement/instance_controller_test.ts
+++ b/placement/instance_controller_test.ts
@@ -40,6 +40,29 @@
     expect(harness.runningCount()).toBe(1);
   });
 
+  test('moves of instances whose maintenance has begun do not hold back the rest of their wave', async () => {
+    const harness = new PlacementHarness();
+    harness.rules = {
+      ...harness.rules,
+      pools: new Map([...harness.rules.pools, ['q', { poolId: 'q', spare: true }]]),
+    };
+    await Promise.all(['w1', 'w2'].map((id) => harness.addWorker(id)));
+    const { instances } = harness.instances;
+    instances.set('m-w1', INSTANCE);
+    instances.set('m-w2', { ...INSTANCE, instanceId: 'm-w2', workerId: 'w2', state: 'down' });
+    const instanceIds = ['m-w1', 'm-w2'];
+    harness.waves.set(1, { waveNumber: 1, instanceIds, timeLimitMs: 6_000, maxConcurrent: 1 });
+    void harness.process('a').run();
+    await harness.advance(4_000);
+    expect(harness.instances.commands).toEqual(['maintain m-w1 1']);
+    // The spare instance is needed, so that it is moved; shortly after, the other one comes up.
+    instances.set('m-w1', { ...INSTANCE, poolId: 'q' });
+    while (!harness.instances.commands.includes('move m-w1 p')) await harness.advance(50);
+    instances.set('m-w2', { ...INSTANCE, instanceId: 'm-w2', workerId: 'w2' });
+    await harness.advance(700);
+    expect(harness.instances.commands).toContain('maintain m-w2 1');
+  });
+
   test('moves a long-running task for a wave only within the limit of unavailable tasks of its step', async () => {
     const harness = new PlacementHarness();
     await Promise.all(['w1', 'w2', 'w3'].map((id) => harness.addWorker(id)));
--- a/placement/instance_directory.ts
+++ b/placement/instance_directory.ts
@@ -29,7 +29,11 @@
  */
 const PENDING_LIMIT_MS = 6_000;
 
+/** A move, or maintenance for a wave. */
+export type CommandKind = 'move' | 'maintain';
+
 interface PendingCommand {
+  readonly kind: CommandKind;
   readonly poolId: string;
   readonly sentAtMs: number;
 }
@@ -83,15 +87,20 @@
     return this.pendingCommands.has(instanceId);
   }
 
+  /** Like {@link hasPendingCommand}, for maintenance only. */
+  hasPendingMaintenance(instanceId: string): boolean {
+    return this.pendingCommands.get(instanceId)?.kind === 'maintain';
+  }
+
   /** The pool that an instance belongs to or is moving to. */
   effectivePoolId({ instanceId, poolId }: InstanceStatus): string {
     return this.pendingCommands.get(instanceId)?.poolId ?? poolId;
   }
 
   /** Records a command; it stays pending until the list shows the instance up again. */
-  recordCommand(instanceId: string, poolId: string): void {
+  recordCommand(instanceId: string, kind: CommandKind, poolId: string): void {
     const nowMs = this.options.clock.monotonicMs();
-    this.pendingCommands.set(instanceId, { poolId, sentAtMs: nowMs });
+    this.pendingCommands.set(instanceId, { kind, poolId, sentAtMs: nowMs });
     this.nextReadAtMs = Math.min(this.nextReadAtMs, nowMs + EARLY_READ_MS);
   }
 
--- a/scheduling/wave_plan.ts
+++ b/scheduling/wave_plan.ts
@@ -7,6 +7,7 @@
   /** Whether its pool has enough instances without it. */
   readonly isDispensable: boolean;
   readonly runCount: number;
+  readonly hasLongRunningTasks: boolean;
   /** Whether it already takes no new tasks, because of this wave or a move. */
   readonly isDraining: boolean;
 }
@@ -21,6 +22,8 @@
   readonly maxConcurrent: number;
   /** Time until the wave should be completed, in milliseconds. */
   readonly timeLeftMs: number;
+  /** Time that the operator has given the wave, in milliseconds. */
+  readonly timeLimitMs: number;
   /** Expected time for which one instance is unavailable, draining included, in milliseconds. */
   readonly expectedDownMs: number;
 }
@@ -38,10 +41,18 @@
  */
 const URGENCY_FACTOR = 2;
 
+/**
+ * Once at most this fraction of the time limit is left, instances with long-running tasks
+ * are drained. These tasks leave an instance a few at a time, as their steps' limits of
+ * unavailable tasks allow, and never by themselves.
+ */
+const EVACUATE_BELOW_FRACTION = 0.6;
+
 /**
  * Selects idle instances that are draining or that their pools can do without.
  * Idle instances that their pools need are selected, and busy ones drained, only
- * when the wave would otherwise not be completed in time.
+ * when the wave would otherwise not be completed in time; instances with long-running
+ * tasks are drained earlier.
  *
  * @example
  * ```ts
@@ -53,6 +64,7 @@
   downCount,
   maxConcurrent,
   timeLeftMs,
+  timeLimitMs,
   expectedDownMs,
 }: WaveRequest): WaveActions {
   const up = remaining.filter(({ isUp }) => isUp);
@@ -66,10 +78,13 @@
     )
     .sort((a, b) => maintenanceRank(a) - maintenanceRank(b));
   const maintain = idle.slice(0, available).map(({ instanceId }) => instanceId);
-  if (!isUrgent) return { maintain, drain: [] };
+  const mayEvacuate = timeLeftMs <= EVACUATE_BELOW_FRACTION * timeLimitMs;
   const drainingCount = up.filter(({ isDraining, runCount }) => isDraining && runCount > 0).length;
   const drain = up
-    .filter(({ isDraining, runCount }) => !isDraining && runCount > 0)
+    .filter(
+      ({ isDraining, runCount, hasLongRunningTasks }) =>
+        !isDraining && runCount > 0 && (isUrgent || (mayEvacuate && hasLongRunningTasks)),
+    )
     .sort((a, b) => a.runCount - b.runCount)
     .slice(0, Math.max(0, available - maintain.length - drainingCount));
   return { maintain, drain: drain.map(({ instanceId }) => instanceId) };
--- a/scheduling/wave_plan_test.ts
+++ b/scheduling/wave_plan_test.ts
@@ -2,7 +2,15 @@
 import { planWave, type WaveInstance, type WaveRequest } from './wave_plan';
 
 function instance(instanceId: string, fields: Partial<WaveInstance> = {}): WaveInstance {
-  return { instanceId, isUp: true, isDispensable: false, runCount: 0, isDraining: false, ...fields };
+  return {
+    instanceId,
+    isUp: true,
+    isDispensable: false,
+    runCount: 0,
+    hasLongRunningTasks: false,
+    isDraining: false,
+    ...fields,
+  };
 }
 
 function request(fields: Partial<WaveRequest>): WaveRequest {
@@ -11,6 +19,7 @@
     downCount: 0,
     maxConcurrent: 2,
     timeLeftMs: 60_000,
+    timeLimitMs: 60_000,
     expectedDownMs: 5_000,
     ...fields,
   };
@@ -37,6 +46,15 @@
     expect(planWave(urgent)).toEqual({ maintain: [], drain: ['b'] });
   });
 
+  test('drains instances with long-running tasks before the time is short', () => {
+    const remaining = [
+      instance('a', { runCount: 3, hasLongRunningTasks: true }),
+      instance('b', { runCount: 1 }),
+    ];
+    expect(planWave(request({ remaining, timeLeftMs: 40_000 })).drain).toEqual([]);
+    expect(planWave(request({ remaining, timeLeftMs: 30_000 })).drain).toEqual(['a']);
+  });
+
   test('never maintains an instance that still runs something or is not up', () => {
     const remaining = [instance('a', { runCount: 1, isDraining: true }), instance('b', { isUp: false })];
     expect(planWave(request({ remaining, timeLeftMs: 0 })).maintain).toEqual([]);
--- a/telemetry/events_catalogue.ts
+++ b/telemetry/events_catalogue.ts
@@ -53,6 +53,7 @@
   operatorEntriesUnusable: logEvent(725, 'operator entries unusable'),
   workerReportUnusable: logEvent(726, 'worker report unusable in part'),
   jobRowUnusable: logEvent(727, 'job row unusable'),
+  waveProgress: logEvent(728, 'maintenance wave in progress'),
   storeReachable: logEvent(722, 'store reachable'),
   storeUnreachable: logEvent(723, 'store unreachable'),
   poolSummary: logEvent(724, 'pool summary'),
