Ignore lasting jobs and small onsets in the burst forecast, and share what is needed now

Change: long-running jobs are no arrivals of the forecast, an onset needs a tenth of the expected height, a burst that lasts 20 s is the new normal, and the rate at its end is the new baseline. A shortage is shared by what each pool needs now; what it no longer needs goes first. Weighed: only a shorter time before pools shrink (moves back and forth between two bursts).

--- a/placement/instance_controller.ts
+++ b/placement/instance_controller.ts
@@ -261,6 +261,7 @@
         isSpare: spare,
         incoming,
         desiredInstances,
+        neededInstances: demand.neededInstances(poolId),
         minInstances: demand.minInstances(poolId),
       };
     });
--- a/placement/pool_demand.ts
+++ b/placement/pool_demand.ts
@@ -121,7 +121,9 @@
     const work = totalWork(definition, () => true);
     const meter = this.meters.get(poolId) ?? new ArrivalRateMeter();
     this.meters.set(poolId, meter);
-    this.options.forecast.recordArrival(poolId, this.options.clock.monotonicMs());
+    // Long-running jobs are few, and their demand lasts.
+    if (!isLongRunning(definition))
+      this.options.forecast.recordArrival(poolId, this.options.clock.monotonicMs());
     meter.recordArrival(
       this.options.clock.monotonicMs(),
       this.options.state.estimator.expectedMs(queueId, work),
@@ -228,6 +230,11 @@
     return Math.max(0, ...(this.recentSizes.get(poolId) ?? []).map(({ instances }) => instances));
   }
 
+  /** Number of instances that the demand needs now: the latest computed size. */
+  neededInstances(poolId: string): number {
+    return this.recentSizes.get(poolId)?.at(-1)?.instances ?? 0;
+  }
+
   /** Number of instances that the pool keeps whatever other pools need. */
   minInstances(poolId: string): number {
     const { minWorkers } = this.longRunning.get(poolId) ?? NO_LONG_RUNNING_WORK;
--- a/scheduling/burst_forecast.ts
+++ b/scheduling/burst_forecast.ts
@@ -59,9 +59,18 @@
  */
 const LEAD_TIME_MS = 3_000;
 
+/**
+ * Fraction of the expected height that the arrivals of a burst need at its onset. A few
+ * jobs after a quiet time are no burst, however improbable.
+ */
+const MIN_ONSET_FRACTION = 0.1;
+
 /** A burst has ended once the arrivals need less than this fraction of its height. */
 const END_FRACTION = 0.3;
 
+/** Higher demand that lasts longer than this, in milliseconds, is the new normal rather than a burst. */
+const MAX_BURST_MS = 20_000;
+
 /** Number of bursts whose heights are kept. */
 const KEPT_HEIGHTS = 3;
 
@@ -112,7 +121,7 @@
     const state = this.advance(poolId, this.stateOf(poolId, nowMs), measured, nowMs);
     this.pools.set(poolId, state);
     if (state.burst === null || nowMs - state.burst.startedAtMs >= LEAD_TIME_MS) return measured.instances;
-    return Math.max(measured.instances, this.expectedHeight(poolId));
+    return Math.max(measured.instances, this.expectedHeight(poolId, nowMs));
   }
 
   private stateOf(poolId: string, nowMs: number): PoolState {
@@ -133,16 +142,21 @@
     const longestMs = Math.max(...ONSET_WINDOWS_MS);
     const firstRecent = arrivalsAtMs.findIndex((atMs) => nowMs - atMs < longestMs);
     arrivalsAtMs.splice(0, firstRecent < 0 ? arrivalsAtMs.length : firstRecent);
+    const ratePerMs = arrivalsAtMs.length / longestMs;
     if (burst !== null) {
       const height = Math.max(burst.height, arrivingInstances);
+      const isLasting = nowMs - burst.startedAtMs >= MAX_BURST_MS;
       const isOver =
         nowMs - burst.startedAtMs >= LEAD_TIME_MS && arrivingInstances < END_FRACTION * burst.height;
+      if (!isOver && !isLasting) return { ...state, burst: { ...burst, height }, baselineAtMs: nowMs };
       if (isOver) this.recordHeight(poolId, height);
-      return { ...state, burst: isOver ? null : { ...burst, height }, baselineAtMs: nowMs };
+      // The burst's last jobs are not the onset of another one.
+      return { ...state, burst: null, baselinePerMs: ratePerMs, baselineAtMs: nowMs };
     }
-    if (hasOnset(state, nowMs)) return { ...state, burst: { startedAtMs: nowMs, height: arrivingInstances } };
+    const isLargeEnough = arrivingInstances >= MIN_ONSET_FRACTION * this.expectedHeight(poolId, nowMs);
+    if (isLargeEnough && hasOnset(state, nowMs))
+      return { ...state, burst: { startedAtMs: nowMs, height: arrivingInstances } };
     const weight = 1 - Math.exp(-(nowMs - state.baselineAtMs) / BASELINE_TIME_MS);
-    const ratePerMs = arrivalsAtMs.length / longestMs;
     const baselinePerMs = state.baselinePerMs + weight * (ratePerMs - state.baselinePerMs);
     return { ...state, baselinePerMs, baselineAtMs: nowMs };
   }
@@ -153,15 +167,25 @@
     this.memories.set(poolId, { ...memory, heights });
   }
 
-  private expectedHeight(poolId: string): number {
+  private expectedHeight(poolId: string, nowMs: number): number {
     const memory = this.memories.get(poolId);
     if (memory === undefined) return 0;
     if (memory.heights.length > 0) return median(memory.heights);
-    const ratios = [...this.memories.values()]
-      .filter(({ heights, provisionedInstances }) => heights.length > 0 && provisionedInstances > 0)
-      .map(({ heights, provisionedInstances }) => median(heights) / provisionedInstances);
+    const ratios = [...this.memories]
+      .filter(([otherId]) => otherId !== poolId)
+      .map(
+        ([otherId, other]) => this.heightOf(otherId, other, nowMs) / Math.max(1, other.provisionedInstances),
+      )
+      .filter((ratio) => ratio > 0);
     return Math.ceil(memory.provisionedInstances * (ratios.length === 0 ? 1 : median(ratios)));
   }
+
+  /** Height of a pool's earlier bursts, or of its current one once it is complete; 0 if there is none. */
+  private heightOf(poolId: string, { heights }: BurstMemory, nowMs: number): number {
+    if (heights.length > 0) return median(heights);
+    const burst = this.pools.get(poolId)?.burst ?? null;
+    return burst !== null && nowMs - burst.startedAtMs >= LEAD_TIME_MS ? burst.height : 0;
+  }
 }
 
 /** Whether more jobs have arrived than the rate outside of bursts explains. */
--- a/scheduling/pool_sizing.ts
+++ b/scheduling/pool_sizing.ts
@@ -15,8 +15,10 @@
 export interface PoolDemand {
   readonly poolId: string;
   readonly isSpare: boolean;
-  /** Number of instances that the pool should have. */
+  /** Number of instances that the pool should have; it falls some time after the demand. */
   readonly desiredInstances: number;
+  /** Number of instances that its demand needs now; at most {@link desiredInstances}. */
+  readonly neededInstances: number;
   /** Number of instances that it keeps even when there are too few for all pools. */
   readonly minInstances: number;
   /** Number of instances that are moving to it. */
@@ -82,10 +84,10 @@
 }
 
 /**
- * Reduces the desired sizes if they add up to more instances than there are:
- * each pool gets its minimum, and the rest is divided in proportion to the
- * desired instances beyond the minimum. Without this, the pool whose burst came
- * first would keep all instances.
+ * Reduces the desired sizes if they add up to more instances than there are: pools keep
+ * less of what their demand no longer needs. If that does not suffice, each pool gets its
+ * minimum, and the rest is divided in proportion to the needed instances beyond the
+ * minimum. Without this, the pool whose burst came first would keep all instances.
  */
 function shareShortage(
   { pools, instances }: SizingRequest,
@@ -95,11 +97,21 @@
   const activePools = pools.filter(({ isSpare }) => !isSpare);
   const desired = activePools.reduce((sum, pool) => sum + pool.desiredInstances, 0);
   if (desired <= total) return pools;
+  const needed = activePools.reduce((sum, pool) => sum + pool.neededInstances, 0);
+  if (needed <= total) {
+    const kept = (total - needed) / Math.max(1, desired - needed);
+    return pools.map((pool) => ({
+      ...pool,
+      desiredInstances: Math.floor(
+        pool.neededInstances + (pool.desiredInstances - pool.neededInstances) * kept,
+      ),
+    }));
+  }
   const minimum = activePools.reduce((sum, pool) => sum + minimumOf(pool), 0);
-  const ratio = Math.max(0, total - minimum) / Math.max(1, desired - minimum);
+  const ratio = Math.max(0, total - minimum) / Math.max(1, needed - minimum);
   return pools.map((pool) => {
     if (pool.isSpare) return pool;
-    const share = Math.round(minimumOf(pool) + (pool.desiredInstances - minimumOf(pool)) * ratio);
+    const share = Math.round(minimumOf(pool) + (pool.neededInstances - minimumOf(pool)) * ratio);
     const poolInstances = (instancesByPool.get(pool.poolId)?.length ?? 0) + pool.incoming;
     const isTolerated = poolInstances > share && poolInstances - share <= SHORTAGE_TOLERANCE;
     return {
@@ -121,8 +133,8 @@
   return byPool;
 }
 
-function minimumOf({ minInstances, desiredInstances }: PoolDemand): number {
-  return Math.min(minInstances, desiredInstances);
+function minimumOf({ minInstances, neededInstances }: PoolDemand): number {
+  return Math.min(minInstances, neededInstances);
 }
 
 /** Movable instances that a pool can do without; for the spare pool, all of its movable ones. */
--- a/scheduling/pool_sizing_test.ts
+++ b/scheduling/pool_sizing_test.ts
@@ -6,6 +6,7 @@
     poolId,
     isSpare: false,
     desiredInstances: wantedInstances,
+    neededInstances: wantedInstances,
     minInstances: 0,
     incoming: 0,
     ...fields,
@@ -58,6 +59,14 @@
     expect(moves.map(({ toPoolId }) => toPoolId)).toEqual(['x', 'y']);
   });
 
+  test('takes what a demand no longer needs before its pool would shrink, if another pool lacks instances', () => {
+    const instances = Array.from({ length: 10 }, (_, index) => instance(`a${index}`, 'ending'));
+    const ending = pool('ending', 10, { neededInstances: 4 });
+    expect(planPoolSizes({ pools: [SPARE, ending, pool('rising', 6)], instances }).moves).toHaveLength(6);
+    expect(planPoolSizes({ pools: [SPARE, ending, pool('rising', 3)], instances }).moves).toHaveLength(3);
+    expect(planPoolSizes({ pools: [SPARE, ending, pool('rising', 0)], instances }).moves).toHaveLength(0);
+  });
+
   describe('with fewer instances than all pools desire', () => {
     const instances = Array.from({ length: 8 }, (_, index) =>
       instance(`a${index}`, 'first', { runCount: 1 }),
