Send commands to instances at the accepted rate, and know when one was not sent

An instance whose command has to wait works on in its pool. Weighed: only more connections (the service then rejects what exceeds its rate, and each rejected instance pauses 0.7 s).

--- a/bench/leader/leader_under_load.ts
+++ b/bench/leader/leader_under_load.ts
@@ -69,6 +69,7 @@
     maxWorkerLeaseMs: MAX_LEASE_MS,
     retentionMs: 120_000,
     instanceCommandDelayMs: 0,
+    instanceCommandsPerSecond: 300,
     counters,
     logger: Logger.create({ level: 'info', destination: { write: () => undefined } }),
     onStoreUnreachable: () => undefined,
--- a/daemon/node_settings.ts
+++ b/daemon/node_settings.ts
@@ -21,6 +21,8 @@
   readonly maxWorkerLeaseMs: number;
   /** Minimum time between commands of two different leaders to one instance, in milliseconds. */
   readonly instanceTurnMs: number;
+  /** Commands to instances that the platform accepts per second, from all processes together. */
+  readonly instanceCommandsPerSecond: number;
   /** Minimum time for which the state of an ended job is retained, in milliseconds. */
   readonly endedJobRetentionMs: number;
 }
--- a/net/http_channel.ts
+++ b/net/http_channel.ts
@@ -115,7 +115,10 @@
   constructor(private readonly options: CallHandlerOptions) {
     this.timer = setTimeout(() => {
       this.hasTimedOut = true;
-      const error = new CallOutcomeUnknownError('No response arrived within the time limit.');
+      const error =
+        this.controller === null
+          ? new CallNotSentError('No connection became free within the time limit.')
+          : new CallOutcomeUnknownError('No response arrived within the time limit.');
       this.controller?.abort(error);
       options.reject(error);
     }, options.timeoutMs);
@@ -124,7 +127,7 @@
   onRequestStart(controller: Dispatcher.DispatchController): void {
     this.controller = controller;
     // The call waited for a connection until after its time limit, and must not be sent any more.
-    if (this.hasTimedOut) controller.abort(new CallOutcomeUnknownError('The time limit had passed.'));
+    if (this.hasTimedOut) controller.abort(new CallNotSentError('The time limit had passed.'));
   }
 
   onResponseStart(_controller: Dispatcher.DispatchController, statusCode: number): void {
@@ -162,7 +165,7 @@
 }
 
 function toCallError(error: unknown): Error {
-  if (error instanceof CallOutcomeUnknownError) return error;
+  if (error instanceof CallOutcomeUnknownError || error instanceof CallNotSentError) return error;
   const { code, message } = errorFields(error);
   if (NOT_SENT_CODES.has(code)) return new CallNotSentError(`The connection was not opened: ${message}`);
   return new CallOutcomeUnknownError(`No response arrived: ${message}`);
--- a/placement/_placement_harness.ts
+++ b/placement/_placement_harness.ts
@@ -130,6 +130,7 @@
   readonly gateway = new FakeWorkerGateway(this.clock);
   readonly instances = new FakeInstanceOperations();
   readonly waves = new Map<number, MaintenanceWave>();
+  instanceCommandsPerSecond = 1_000;
   rules: FleetRules = {
     version: 1,
     queues: new Map([['q', QUEUE]]),
@@ -250,6 +251,7 @@
       maxWorkerLeaseMs: FAKE_LEASE_MS,
       retentionMs: RETENTION_MS,
       instanceCommandDelayMs: 0,
+      instanceCommandsPerSecond: harness.instanceCommandsPerSecond,
       counters: this.counters,
       logger: Logger.create({ level: 'silent' }),
       onStoreUnreachable: () => undefined,
--- a/placement/instance_controller.ts
+++ b/placement/instance_controller.ts
@@ -10,6 +10,7 @@
 } from '../scheduling/instance_operations';
 import { PLACEMENT_PARTITION } from '../scheduling/job_rows';
 import type { PlatformRowCodec } from '../scheduling/platform_row_codec';
+import { CommandBudget } from '../scheduling/command_budget';
 import { planPoolSizes, type PoolDemand, type SizedInstance } from '../scheduling/pool_sizing';
 import type { MaintenanceWave } from '../scheduling/maintenance_wave';
 import { planWave, type WaveInstance } from '../scheduling/wave_plan';
@@ -57,6 +58,8 @@
   readonly demand: PoolDemandTracker;
   readonly counters: Counters;
   readonly logger: Logger;
+  /** Commands that the platform accepts per second. */
+  readonly instanceCommandsPerSecond: number;
   /** Called when the platform rejects this leader's fencing token. */
   readonly onFenced: () => void;
 }
@@ -68,6 +71,7 @@
   /** Instances of open waves whose maintenance has not begun. */
   private readonly dueForWave = new Set<string>();
   private drainingForMove: ReadonlySet<string> = new Set();
+  private readonly budget: CommandBudget;
   private readonly waveLoggedAtMs = new Map<number, number>();
   private readonly retryAtMs = new Map<string, number>();
   private readonly commandsInFlight = new Set<string>();
@@ -77,7 +81,8 @@
   private readonly incomingByPool = new Map<string, number>();
 
   constructor(private readonly options: InstanceControllerOptions) {
-    const { clock, operations, counters } = options;
+    const { clock, operations, counters, instanceCommandsPerSecond } = options;
+    this.budget = new CommandBudget(instanceCommandsPerSecond);
     this.directory = new InstanceDirectory({ clock, operations, counters });
   }
 
@@ -171,7 +176,10 @@
     });
     for (const id of drain) this.drainingForWave.add(id);
     this.logWave(wave, remaining);
-    for (const id of maintain) void this.maintain(id, wave);
+    for (const id of maintain) {
+      if (!this.mayCommand()) break;
+      void this.maintain(id, wave);
+    }
   }
 
   /** Logs, at most once a second, why instances of a wave have not begun their maintenance. */
@@ -273,7 +281,17 @@
       .map((instance) => this.toSizedInstance(instance, rules));
     const { moves, draining } = planPoolSizes({ pools, instances: sizedInstances });
     this.drainingForMove = new Set(draining);
-    for (const { instanceId, toPoolId } of moves) void this.move(instanceId, toPoolId);
+    for (const { instanceId, toPoolId } of moves) {
+      if (!this.mayCommand()) break;
+      void this.move(instanceId, toPoolId);
+    }
+  }
+
+  /** Takes one command from the budget; without one, the instance works on until the next tick. */
+  private mayCommand(): boolean {
+    const isAllowed = this.budget.take(this.options.clock.monotonicMs());
+    if (!isAllowed) this.options.counters.increment('instances.deferred');
+    return isAllowed;
   }
 
   private toSizedInstance(instance: InstanceStatus, rules: FleetRules): SizedInstance {
--- a/placement/instance_controller_test.ts
+++ b/placement/instance_controller_test.ts
@@ -63,6 +63,27 @@
     expect(harness.instances.commands).toContain('maintain m-w2 1');
   });
 
+  test('sends no more commands than the platform accepts, and the other instances stay where they are', async () => {
+    const harness = new PlacementHarness();
+    harness.instanceCommandsPerSecond = 20;
+    harness.rules = {
+      ...harness.rules,
+      pools: new Map([...harness.rules.pools, ['q', { poolId: 'q', spare: true }]]),
+    };
+    await harness.addWorker('w1');
+    harness.instances.instances.set('m-w1', INSTANCE);
+    for (let number = 0; number < 60; number += 1) {
+      const instanceId = `spare-${number}`;
+      harness.instances.instances.set(instanceId, { ...INSTANCE, instanceId, poolId: 'q', workerId: '' });
+    }
+    void harness.process('a').run();
+    await harness.submit('00000000000000aa', [{ ...STEP, taskCount: 200 }]);
+    await harness.advance(1_250);
+    const { length } = harness.instances.commands;
+    expect(length).toBeGreaterThan(8);
+    expect(length).toBeLessThanOrEqual(20);
+  });
+
   test('moves a long-running task for a wave only within the limit of unavailable tasks of its step', async () => {
     const harness = new PlacementHarness();
     await Promise.all(['w1', 'w2', 'w3'].map((id) => harness.addWorker(id)));
--- a/placement/placement_leader.ts
+++ b/placement/placement_leader.ts
@@ -85,6 +85,8 @@
    * of two leaders.
    */
   readonly instanceCommandDelayMs: number;
+  /** Commands to instances that the platform accepts per second. */
+  readonly instanceCommandsPerSecond: number;
   readonly counters: Counters;
   readonly logger: Logger;
   /** Called several times a second while this process's transactions fail. */
--- a/placement/placement_plugin.ts
+++ b/placement/placement_plugin.ts
@@ -104,7 +104,8 @@
 
   /** Acts as the leader; resolves once leadership is lost. */
   private async lead(kernel: Kernel, lease: AcquiredLease): Promise<void> {
-    const { instanceTurnMs, maxWorkerLeaseMs, endedJobRetentionMs } = kernel.use(NODE_SETTINGS);
+    const { instanceTurnMs, maxWorkerLeaseMs, endedJobRetentionMs, instanceCommandsPerSecond } =
+      kernel.use(NODE_SETTINGS);
     const { rules, waves } = kernel.use(OPERATOR_STATE);
     await new Promise<void>((resolve) => {
       const leader = new PlacementLeader({
@@ -121,6 +122,7 @@
         maxWorkerLeaseMs,
         retentionMs: endedJobRetentionMs,
         instanceCommandDelayMs: lease.row.epoch > 1 ? instanceTurnMs - LEADER_LEASE_MS : 0,
+        instanceCommandsPerSecond,
         counters: kernel.use(COUNTERS),
         logger: kernel.use(LOGGER),
         onStoreUnreachable: () => {
--- a/scheduling/instance_operations.ts
+++ b/scheduling/instance_operations.ts
@@ -23,9 +23,11 @@
 /**
  * `fenced`: a later leader has already sent a command. `busy`: the instance is not
  * up, or is about to go down. `not_in_wave`: the wave does not contain it.
- * `throttled`: the service limits the rate of calls.
+ * `throttled`: the service limits the rate of calls. `not_sent`: the command never left
+ * this process.
  */
-export type InstanceCommandResult = 'accepted' | 'fenced' | 'busy' | 'not_in_wave' | 'rejected' | 'throttled';
+export type InstanceCommandResult =
+  'accepted' | 'fenced' | 'busy' | 'not_in_wave' | 'rejected' | 'throttled' | 'not_sent';
 
 /**
  * The call timed out or the service was unavailable. The outcome is unknown: the
