Read all tables at once after a takeover, and cap the demand at the fleet

When callers return together after an outage, the arrivals of 0.6 s asked for 2,671 of 378 instances, which also became the expected height of the next bursts.

Change: the tables are read at the same time (only the leader writes progress), the list of instances too, and the first tick follows at once. The size that arrivals ask for is at most the whole fleet.

--- a/placement/instance_controller.ts
+++ b/placement/instance_controller.ts
@@ -88,6 +88,8 @@
 
   /** Loads the wave progress that earlier leaders have stored. Throws the errors of {@link RowStore.read}. */
   async load(): Promise<void> {
+    // The list is needed soon, but no decision of the load waits for it.
+    void this.directory.refresh();
     const { rows } = await this.options.store.read({ table: WAVE_TABLE, partition: PLACEMENT_PARTITION });
     for (const { key, value } of rows) this.waveProgress.set(Number(key), decodeWaveProgress(value));
   }
@@ -113,6 +115,11 @@
     return counts;
   }
 
+  /** Number of instances of all pools; `Infinity` before they are known. */
+  instanceCount(): number {
+    return this.directory.isLoaded() ? [...this.directory.all()].length : Infinity;
+  }
+
   /** Whether an instance still has to be maintained for an open wave. */
   isDueForMaintenance(instanceId: string): boolean {
     return this.dueForWave.has(instanceId);
--- a/placement/placement_leader.ts
+++ b/placement/placement_leader.ts
@@ -229,16 +229,21 @@
    * errors of {@link RowStore.read}.
    */
   async start(): Promise<void> {
-    const { store, clock } = this.options;
-    const progress = await store.read({ table: PROGRESS_TABLE, partition: PLACEMENT_PARTITION });
+    const { store } = this.options;
+    // Only the leader writes progress, so that it does not change between these reads.
+    const [progress, handleJobs, handleWorkers] = await Promise.all([
+      store.read({ table: PROGRESS_TABLE, partition: PLACEMENT_PARTITION }),
+      this.jobFollower.read(),
+      this.workerFollower.read(),
+      this.instanceController.load(),
+      this.burstMemory.load(),
+    ]);
     for (const { key, value } of progress.rows) {
       const decoded = this.decodeRow(key, () => decodeProgress(value));
       if (decoded !== null) this.inheritedProgress.set(key, decoded);
     }
-    await this.instanceController.load();
-    await this.burstMemory.load();
-    await this.jobFollower.load();
-    await this.workerFollower.load();
+    handleJobs();
+    handleWorkers();
     if (this.hasStopped()) return;
     this.isLoaded = true;
     this.recordEndedJobs();
@@ -248,10 +253,7 @@
       if (isEnded(job.record.state)) this.resultHandler.stopRuns(job);
     void this.jobFollower.run();
     void this.workerFollower.run();
-    this.tickTimer = clock.schedule(TICK_MS, () => {
-      this.tick();
-    });
-    this.schedulePlan();
+    this.tick();
   }
 
   /** Releases the lease. */
@@ -518,7 +520,11 @@
     }
     this.placer.recordWaiting(rules, this.unixMs());
     this.burstMemory.update(this.instanceController.instancesByPool(rules));
-    this.demand.update(rules, meanCapacity(this.fleet), poolUsage(this.fleet, this.state));
+    const capacity = {
+      meanCapacity: meanCapacity(this.fleet),
+      instanceCount: this.instanceController.instanceCount(),
+    };
+    this.demand.update(rules, capacity, poolUsage(this.fleet, this.state));
     this.instanceController.tick(rules);
     const drainingWorkerIds: string[] = [];
     for (const session of this.fleet.all()) {
--- a/placement/placement_leader_test.ts
+++ b/placement/placement_leader_test.ts
@@ -42,6 +42,18 @@
     expect(await harness.state(JOB)).toBe('completed');
   });
 
+  test('a successor plans within four calls to a slow store', async () => {
+    const harness = new PlacementHarness();
+    const worker = await harness.addWorker('w1');
+    const successor = harness.process('a');
+    successor.store.faults = { ...NO_ROW_STORE_FAULTS, responseDelayMs: 200 };
+    await harness.submit(JOB, [STEP]);
+    void successor.run();
+    // Reading the lease, acquiring it, reading all tables, recording the start.
+    await harness.advance(4 * 200 + 100);
+    expect(worker.starts).toEqual(['0.0.0#1']);
+  });
+
   test('a run that a worker reports in an undecodable entry is neither lost nor started again', async () => {
     const harness = new PlacementHarness();
     const worker = await harness.addWorker('w1');
--- a/placement/pool_demand.ts
+++ b/placement/pool_demand.ts
@@ -100,6 +100,14 @@
   readonly workers: number;
 }
 
+/** The instances of all pools together. */
+export interface FleetCapacity {
+  /** Mean capacity of an instance. */
+  readonly meanCapacity: Resources;
+  /** Number of instances, those of spare pools included; `Infinity` before they are known. */
+  readonly instanceCount: number;
+}
+
 const NO_USAGE: PoolUsage = { used: NO_RESOURCES, workers: 0 };
 
 export class PoolDemandTracker {
@@ -166,8 +174,12 @@
     return this.waitingDemand.get(poolId) ?? NO_RESOURCES;
   }
 
-  /** Computes the desired sizes again; `meanCapacity` is the mean capacity of an instance. */
-  update(rules: FleetRules, meanCapacity: Resources, usageByPool: ReadonlyMap<string, PoolUsage>): void {
+  /** Computes the desired sizes again. */
+  update(
+    rules: FleetRules,
+    { meanCapacity, instanceCount }: FleetCapacity,
+    usageByPool: ReadonlyMap<string, PoolUsage>,
+  ): void {
     const nowMs = this.options.clock.monotonicMs();
     this.longRunning = this.longRunningByPool(rules);
     for (const { poolId, spare } of rules.pools.values()) {
@@ -176,7 +188,11 @@
       this.updateAllowance(poolId, workers, nowMs);
       const arrivingProcessors = this.meters.get(poolId)?.arrivingProcessors(nowMs) ?? 0;
       const usedAndWaiting = addResources(used, this.backlog(poolId));
-      const arrivingInstances = withHeadroom(arrivingProcessors / meanCapacity.processors);
+      // Callers who return together after an outage arrive at a rate that no fleet serves.
+      const arrivingInstances = Math.min(
+        withHeadroom(arrivingProcessors / meanCapacity.processors),
+        instanceCount,
+      );
       const instances = Math.max(
         withHeadroom(dominantShare(usedAndWaiting, meanCapacity)),
         arrivingInstances,
--- a/store/table_follower.ts
+++ b/store/table_follower.ts
@@ -76,14 +76,25 @@
 
   /** Reads the whole table; {@link run} then continues with later changes. Throws as {@link RowStore.read} does. */
   async load(): Promise<void> {
+    (await this.read())();
+  }
+
+  /**
+   * Reads the whole table like {@link load}, but hands the rows over only when the
+   * returned function is called, so that several tables can be read at the same time
+   * and handled in order.
+   */
+  async read(): Promise<() => void> {
     const { store, table, partitions } = this.options;
     const snapshots = await Promise.all(partitions.map((partition) => store.read({ table, partition })));
-    if (this.stopped) return;
-    this.version = Math.min(...snapshots.map(({ version }) => version));
-    this.options.onChanges(
-      snapshots.flatMap(({ rows }) => rows),
-      true,
-    );
+    return () => {
+      if (this.stopped) return;
+      this.version = Math.min(...snapshots.map(({ version }) => version));
+      this.options.onChanges(
+        snapshots.flatMap(({ rows }) => rows),
+        true,
+      );
+    };
   }
 
   /** A method, because in {@link run} the compiler takes the field itself to be still `false` after an `await`. */
