Run late jobs that are still of use before those that are not

Change: among late jobs, those that can end within three times their target go first, by the time that they have left; the rest follows by arrival. The computation of the remaining work, which no order uses, goes. Weighed: the shortest remaining work first (large jobs starve), the newest first (each job of a burst waits longer than its predecessor).

A pool whose burst follows an outage in another pool still waits for instances that the other one's backlog occupies.

--- a/placement/plan_request.ts
+++ b/placement/plan_request.ts
@@ -4,10 +4,10 @@
 import type { JobDefinition } from '../scheduling/job_definition';
 import type { JobRecord, ReadyStep } from '../scheduling/job_record';
 import type { PlanRequest, PlanStep, PlanWorker } from '../scheduling/placement_planner';
-import type { QueueOrder, WaitingStep } from '../scheduling/queue_order';
+import { USEFUL_TIME_FACTOR, type QueueOrder, type WaitingStep } from '../scheduling/queue_order';
 import type { OpenJob } from './job_registry';
 import type { PlacementState } from './placement_state';
-import { criticalPathMs, totalWork } from './run_time_estimator';
+import { criticalPathMs } from './run_time_estimator';
 
 /** A step waits this long for the rack of its data before it may run on another one, in milliseconds. */
 const REMOTE_WAIT_MS = 400;
@@ -78,11 +78,10 @@
   readonly overShare: ReadonlySet<string>;
 }
 
-/** Estimated length and work of the steps of an occurrence that are not done. */
+/** Estimated length of the steps of an occurrence that are not done. */
 interface RemainingPath {
   readonly occurrence: number;
   readonly criticalPathMs: number;
-  readonly work: number;
 }
 
 /**
@@ -110,7 +109,6 @@
   const path = {
     occurrence,
     criticalPathMs: criticalPathMs(definition, isPending),
-    work: totalWork(definition, isPending),
   };
   remainingPaths.set(readySteps, path);
   return path;
@@ -127,13 +125,15 @@
   const remainingMs = state.estimator.expectedMs(queueId, remaining.criticalPathMs);
   const dueAtMs = record.dueAtMs(readyStep.occurrence);
   const startAtMs = dueAtMs === 0 ? job.acceptedAtMs : nowMs + dueAtMs - unixMs;
+  const targetMs = queue.stretch * expectedMs + queue.targetLatencyMs;
+  const slackMs = startAtMs + targetMs - nowMs - remainingMs;
   return {
     stepKey: `${record.job.jobId}.${readyStep.occurrence}.${readyStep.step}`,
     priority: queue.priority,
     isLongRunning: readyStep.definition.isLongRunning,
     isFiller: readyStep.definition.isFiller,
-    slackMs: startAtMs + queue.stretch * expectedMs + queue.targetLatencyMs - nowMs - remainingMs,
-    remainingWork: remaining.work,
+    slackMs,
+    usefulSlackMs: slackMs + (USEFUL_TIME_FACTOR - 1) * targetMs,
     isOverShare: record.job.teamId !== null && overShare.has(record.job.teamId),
     arrivalNumber: job.arrivalNumber,
     job,
--- a/scheduling/queue_order.ts
+++ b/scheduling/queue_order.ts
@@ -9,8 +9,11 @@
   readonly isFiller: boolean;
   /** Time until the job's target, minus the remaining length of its critical path, in milliseconds. */
   readonly slackMs: number;
-  /** Processor time that the job still needs, in core-milliseconds. */
-  readonly remainingWork: number;
+  /**
+   * Like {@link slackMs}, until the time after which the job's result is of no use to its
+   * caller any more.
+   */
+  readonly usefulSlackMs: number;
   /** Whether the job's team uses more than its share of the processors that are in use. */
   readonly isOverShare: boolean;
   /** Position in the order of arrival. */
@@ -28,11 +31,22 @@
  */
 const MISSED_TARGET_SLACK_MS = -100;
 
+/**
+ * A result that takes longer than this multiple of the time within which the job should
+ * end is of no use to its caller, who has given up or asked again.
+ */
+export const USEFUL_TIME_FACTOR = 3;
+
 /**
  * Sorts by priority; within a priority, long-running tasks come first, then jobs
- * that can still meet their target, then fillers, then jobs that cannot meet it.
- * Within each of these, teams within their share come before others. Jobs that can
- * meet their target are then sorted by slack, the rest by arrival.
+ * that can still meet their target, then fillers, then jobs that cannot meet it but
+ * whose result is still of use, then the others. Within each of these, teams within
+ * their share come before others. Jobs that can meet their target, and those whose
+ * result is still of use, are then sorted by their slack, the rest by arrival.
+ *
+ * It answers the load of a burst beyond the pool's capacity: with all late jobs in the
+ * order of arrival, those that are of no use any more run first, and each job behind
+ * them becomes useless while it waits.
  */
 export class SlackOrder extends QueueOrder {
   override sort<T extends WaitingStep>(steps: readonly T[]): readonly T[] {
@@ -42,12 +56,30 @@
   }
 }
 
-function rank({ priority, isLongRunning, isFiller, slackMs, isOverShare }: WaitingStep): number {
-  const kind = isFiller ? 2 : isLongRunning ? 0 : slackMs < MISSED_TARGET_SLACK_MS ? 3 : 1;
-  return priority * 10 + kind * 2 + (isOverShare ? 1 : 0);
+enum Kind {
+  LongRunning,
+  OnTime,
+  Filler,
+  Late,
+  Useless,
+}
+
+const KIND_COUNT = 5;
+
+function kindOf({ isLongRunning, isFiller, slackMs, usefulSlackMs }: WaitingStep): Kind {
+  if (isFiller) return Kind.Filler;
+  if (isLongRunning) return Kind.LongRunning;
+  if (slackMs >= MISSED_TARGET_SLACK_MS) return Kind.OnTime;
+  return usefulSlackMs >= MISSED_TARGET_SLACK_MS ? Kind.Late : Kind.Useless;
+}
+
+function rank(step: WaitingStep): number {
+  return (step.priority * KIND_COUNT + kindOf(step)) * 2 + (step.isOverShare ? 1 : 0);
 }
 
+/** Compares steps of the same rank. */
 function compareSlack(a: WaitingStep, b: WaitingStep): number {
-  if (a.isLongRunning || a.slackMs < MISSED_TARGET_SLACK_MS) return 0;
-  return a.slackMs - b.slackMs;
+  const kind = kindOf(a);
+  if (kind === Kind.OnTime || kind === Kind.Filler) return a.slackMs - b.slackMs;
+  return kind === Kind.Late ? a.usefulSlackMs - b.usefulSlackMs : 0;
 }
