Survive malformed rows and peers, and let a leader on a small machine make way

In the same code an empty response of a peer, a registration of a process, the row of the lease or of a wave that could not be decoded ended the process, and as the row stays, every later one too.

The new tests of placement_leader_test.ts and forwarding_job_operations_test.ts fail on the code before, but for two of the five malformed responses.

--- a/bench/leader/leader_under_load.ts
+++ b/bench/leader/leader_under_load.ts
@@ -52,6 +52,7 @@
     identity: { nodeName: 'bench', processId: 'bench' },
     leaseMs: LEASE_MS,
     hasLargerPeer: () => false,
+    onUnusableLease: () => undefined,
   });
   const lease = await election.acquire();
   if (lease === null) throw new Error('The lease could not be acquired.');
--- a/daemon/capabilities.ts
+++ b/daemon/capabilities.ts
@@ -28,10 +28,10 @@
   /** Sets the listener for requests of the placement leader of `epoch` that this process succeed it. */
   readonly onTakeoverRequest: (listener: (epoch: number) => void) => void;
   /**
-   * Whether another process is registered that has far more processors and should
-   * therefore be the placement leader.
+   * Addresses of registered processes that have far more processors and should
+   * therefore be the placement leader instead, the largest first.
    */
-  readonly hasLargerPeer: () => boolean;
+  readonly largerPeerAddresses: () => readonly string[];
 }
 
 export const JOB_OPERATIONS = capability<JobOperations>('relay.job_operations');
--- a/placement/_placement_harness.ts
+++ b/placement/_placement_harness.ts
@@ -229,6 +229,7 @@
       identity: { nodeName: name, processId: `${name}-process` },
       leaseMs: LEADER_LEASE_MS,
       hasLargerPeer: () => hasLargerPeer,
+      onUnusableLease: () => undefined,
     });
   }
 
--- a/placement/burst_memory_test.ts
+++ b/placement/burst_memory_test.ts
@@ -19,6 +19,7 @@
     identity,
     leaseMs: 2_000,
     hasLargerPeer: () => false,
+    onUnusableLease: () => undefined,
   });
   const lease = await election.acquire();
   if (lease === null) throw new Error('The lease was not acquired.');
--- a/placement/fenced_writer.ts
+++ b/placement/fenced_writer.ts
@@ -1,5 +1,6 @@
 /** Writes the placement leader's decisions to the store and renews its lease with each transaction. */
 import type { Clock, Timer } from '../kernel/clock';
+import { RowFormatError } from '../scheduling/job_rows';
 import {
   addressKey,
   isStoreFailure,
@@ -238,7 +239,7 @@
    * or another process holds the lease.
    */
   private reconcile(row: { readonly value: string; readonly version: number } | undefined): boolean {
-    const current = row === undefined ? null : decodeLease(row.value);
+    const current = row === undefined ? null : decodeForeignLease(row.value);
     if (
       row !== undefined &&
       current?.processId === this.leaseRow.processId &&
@@ -286,3 +287,13 @@
     for (const { action } of ready) action();
   }
 }
+
+/** Returns `null` for a row that cannot be decoded; this process has not written it. */
+function decodeForeignLease(value: string): LeaseRow | null {
+  try {
+    return decodeLease(value);
+  } catch (error) {
+    if (error instanceof RowFormatError) return null;
+    throw error;
+  }
+}
--- a/placement/fenced_writer_test.ts
+++ b/placement/fenced_writer_test.ts
@@ -15,6 +15,7 @@
     identity: { nodeName: 'a', processId: 'a' },
     leaseMs: 2_000,
     hasLargerPeer: () => false,
+    onUnusableLease: () => undefined,
   });
   const lease = await election.acquire();
   if (lease === null) throw new Error('The lease was not acquired.');
--- a/placement/instance_controller.ts
+++ b/placement/instance_controller.ts
@@ -8,7 +8,7 @@
   type CommandIssuer,
   type InstanceCommandResult,
 } from '../scheduling/instance_operations';
-import { PLACEMENT_PARTITION } from '../scheduling/job_rows';
+import { PLACEMENT_PARTITION, RowFormatError } from '../scheduling/job_rows';
 import type { PlatformRowCodec } from '../scheduling/platform_row_codec';
 import { CommandBudget } from '../scheduling/command_budget';
 import { planPoolSizes, type PoolDemand, type SizedInstance } from '../scheduling/pool_sizing';
@@ -67,6 +67,8 @@
 export class InstanceController {
   private readonly directory: InstanceDirectory;
   private readonly waveProgress = new Map<number, WaveProgress>();
+  /** Waves whose stored progress cannot be decoded; continuing them might maintain an instance twice. */
+  private readonly unusableWaves = new Set<number>();
   private readonly drainingForWave = new Set<string>();
   /** Instances of open waves whose maintenance has not begun. */
   private readonly dueForWave = new Set<string>();
@@ -91,7 +93,18 @@
     // The list is needed soon, but no decision of the load waits for it.
     void this.directory.refresh();
     const { rows } = await this.options.store.read({ table: WAVE_TABLE, partition: PLACEMENT_PARTITION });
-    for (const { key, value } of rows) this.waveProgress.set(Number(key), decodeWaveProgress(value));
+    for (const { key, value } of rows) this.loadWave(Number(key), value);
+  }
+
+  private loadWave(waveNumber: number, value: string): void {
+    try {
+      this.waveProgress.set(waveNumber, decodeWaveProgress(value));
+    } catch (error) {
+      if (!(error instanceof RowFormatError)) throw error;
+      this.unusableWaves.add(waveNumber);
+      this.options.counters.increment('placement.wave_row_unusable');
+      this.options.logger.warn(LOG_EVENTS.waveRowUnusable, { waveNumber, reason: error.message });
+    }
   }
 
   /** Whether a worker's instance takes no new tasks because it is about to be moved or maintained. */
@@ -164,6 +177,7 @@
   }
 
   private advanceWave(wave: MaintenanceWave, rules: FleetRules): void {
+    if (this.unusableWaves.has(wave.waveNumber)) return;
     const progress = this.progressOf(wave);
     if (progress.isCompleted) return;
     const begun = new Set(progress.begun);
--- a/placement/leader_election.ts
+++ b/placement/leader_election.ts
@@ -1,5 +1,6 @@
 /** Watches the placement lease and acquires it when the leader has stopped. */
 import type { Clock } from '../kernel/clock';
+import { RowFormatError } from '../scheduling/job_rows';
 import { isStoreFailure, type RowStore, type StoredRow } from '../store/row_store';
 import { decodeLease, encodeLease, LEASE_ADDRESS, NO_LEASE, type LeaseRow } from './lease_row';
 
@@ -39,6 +40,8 @@
   readonly leaseMs: number;
   /** Whether a process on a far larger machine is known. */
   readonly hasLargerPeer: () => boolean;
+  /** Called whenever the row of the lease cannot be decoded; no process leads until it is repaired. */
+  readonly onUnusableLease: (error: RowFormatError) => void;
 }
 
 /**
@@ -107,7 +110,9 @@
       if (this.stopped || this.mustDefer(row)) return null;
       return await this.takeOver(row);
     } catch (error) {
-      if (!isStoreFailure(error)) throw error;
+      // Without the epoch of the last leader no token would be higher than its own.
+      if (error instanceof RowFormatError) this.options.onUnusableLease(error);
+      else if (!isStoreFailure(error)) throw error;
       // A leader cannot renew while the store is unavailable, so the time without a change starts again.
       this.lastVersion = -1;
       return null;
--- a/placement/lease_row.ts
+++ b/placement/lease_row.ts
@@ -1,6 +1,6 @@
 /** The row that names the process that holds the placement lease. */
 import { z } from 'zod';
-import { PLACEMENT_PARTITION } from '../scheduling/job_rows';
+import { decodeJsonRow, PLACEMENT_PARTITION } from '../scheduling/job_rows';
 import type { RowAddress } from '../store/row_store';
 
 export const LEASE_ADDRESS: RowAddress = { table: 'lease', partition: PLACEMENT_PARTITION, key: 'placement' };
@@ -23,9 +23,9 @@
 
 export const NO_LEASE: LeaseRow = { nodeName: '', processId: '', epoch: 0, sequence: 0 };
 
-/** Throws `SyntaxError` or `ZodError` if the row cannot be decoded. */
+/** Throws {@link RowFormatError} if the row cannot be decoded. */
 export function decodeLease(value: string): LeaseRow {
-  return leaseRowSchema.parse(JSON.parse(value));
+  return decodeJsonRow(leaseRowSchema, value);
 }
 
 export function encodeLease(row: LeaseRow): string {
--- a/placement/placement_leader.ts
+++ b/placement/placement_leader.ts
@@ -256,6 +256,11 @@
     this.tick();
   }
 
+  /** Whether all jobs are loaded and this process may act as the leader now. */
+  isActive(): boolean {
+    return this.isLoaded && !this.isStopped && this.writer.isValid();
+  }
+
   /** Releases the lease. */
   async release(): Promise<void> {
     this.stop();
@@ -359,7 +364,8 @@
     this.schedulePlan();
   }
 
-  private hasStopped(): boolean {
+  /** Whether this process has stopped acting as the leader. */
+  hasStopped(): boolean {
     return this.isStopped;
   }
 
--- a/placement/placement_leader_test.ts
+++ b/placement/placement_leader_test.ts
@@ -71,6 +71,34 @@
     expect(await harness.state(JOB)).toBe('completed');
   });
 
+  test('undecodable rows of a wave and of burst heights do not stop the jobs', async () => {
+    const harness = new PlacementHarness();
+    const worker = await harness.addWorker('w1');
+    for (const table of ['waves', 'bursts', 'queues', 'progress'])
+      await harness.writeRow({ table, partition: 'placement', key: '1', value: '{"begun":' });
+    harness.waves.set(1, { waveNumber: 1, instanceIds: ['m-w1'], timeLimitMs: 1_000, maxConcurrent: 1 });
+    void harness.process('a').run();
+    await harness.submit(JOB, [STEP]);
+    await harness.advance(2_000);
+    expect(worker.starts).toEqual(['0.0.0#1']);
+    expect(harness.instances.commands).toEqual([]);
+  });
+
+  test('an undecodable lease keeps all processes waiting and ends none', async () => {
+    const harness = new PlacementHarness();
+    const worker = await harness.addWorker('w1');
+    const lease = { table: 'lease', partition: 'placement', key: 'placement' };
+    await harness.writeRow({ ...lease, value: '{"epoch":"seven"}' });
+    const run = harness.process('a').run();
+    await harness.submit(JOB, [STEP]);
+    await harness.advance(5_000);
+    expect(worker.starts).toEqual([]);
+    await harness.writeRow({ ...lease, value: null });
+    await harness.advance(5_000);
+    await run;
+    expect(worker.starts).toEqual(['0.0.0#1']);
+  });
+
   test('the undecodable row of a job does not stop the other jobs', async () => {
     const harness = new PlacementHarness();
     const worker = await harness.addWorker('w1');
--- a/placement/placement_plugin.ts
+++ b/placement/placement_plugin.ts
@@ -20,10 +20,9 @@
 import { pluginRegistry } from '../kernel/plugin_registry';
 import { COUNTERS, LOGGER } from '../settings/base_capabilities';
 import { isStoreFailure } from '../store/row_store';
-import { MAY_TAKE_OVER, TAKE_OVER } from '../relay/relay_calls';
-import { RelayOutcomeUnknownError } from '../relay/relay_client';
 import { LOG_EVENTS } from '../telemetry/events_catalogue';
 import { LeaderElection, type AcquiredLease } from './leader_election';
+import { LeaderSuccession } from './leader_succession';
 import { PlacementLeader } from './placement_leader';
 
 /**
@@ -39,12 +38,6 @@
  */
 const LEADER_LEASE_MS = 2_000;
 
-/**
- * Timeout of a call that hands leadership over, in milliseconds. Without a handover,
- * the lease expires within 3 s.
- */
-const HANDOVER_TIMEOUT_MS = 300;
-
 class PlacementPlugin extends Plugin {
   override readonly name = 'placement';
   // Plug-ins stop in reverse order. The plug-in `callers` takes seconds to stop, and
@@ -54,7 +47,6 @@
   private election: LeaderElection | null = null;
   private leader: PlacementLeader | null = null;
   private isStopped = false;
-  private isHandingOver = false;
 
   override setUp(kernel: Kernel): void {
     this.kernel = kernel;
@@ -92,7 +84,11 @@
         clock: kernel.clock,
         identity,
         leaseMs: LEADER_LEASE_MS,
-        hasLargerPeer: kernel.use(LEADER_HANDOVER).hasLargerPeer,
+        hasLargerPeer: () => kernel.use(LEADER_HANDOVER).largerPeerAddresses().length > 0,
+        onUnusableLease: ({ message }) => {
+          kernel.use(COUNTERS).increment('placement.lease_unusable');
+          kernel.use(LOGGER).error(LOG_EVENTS.leaseUnusable, { reason: message });
+        },
       });
       const lease = await this.election.acquire();
       if (lease === null) return;
@@ -126,32 +122,25 @@
         counters: kernel.use(COUNTERS),
         logger: kernel.use(LOGGER),
         onStoreUnreachable: () => {
-          void this.handOverLeadership(kernel, leader, lease.row.epoch);
+          void succession.resignIfPeerReachesStore();
         },
         onLost: resolve,
       });
+      const succession = new LeaderSuccession({
+        clock: kernel.clock,
+        client: kernel.use(RELAY_CLIENT),
+        largerPeerAddresses: kernel.use(LEADER_HANDOVER).largerPeerAddresses,
+        leader,
+        epoch: lease.row.epoch,
+        logger: kernel.use(LOGGER),
+      });
       this.leader = leader;
       void this.startLeader(kernel, leader, resolve);
+      void succession.watchForLargerPeer(resolve);
     });
     this.leader = null;
   }
 
-  /** Resigns in favour of a process that can reach the store, and asks it to take over. */
-  private async handOverLeadership(kernel: Kernel, leader: PlacementLeader, epoch: number): Promise<void> {
-    if (this.isHandingOver) return;
-    this.isHandingOver = true;
-    const client = kernel.use(RELAY_CLIENT);
-    const successor = await client.findAcceptingPeer(MAY_TAKE_OVER, {}, HANDOVER_TIMEOUT_MS);
-    if (successor !== null && this.leader === leader) {
-      leader.resign();
-      await client.callPeer(successor, TAKE_OVER, { epoch }, HANDOVER_TIMEOUT_MS).catch((error: unknown) => {
-        // Another process acquires the lease once it has expired.
-        if (!(error instanceof RelayOutcomeUnknownError)) throw error;
-      });
-    }
-    this.isHandingOver = false;
-  }
-
   private async startLeader(kernel: Kernel, leader: PlacementLeader, onFailed: () => void): Promise<void> {
     try {
       await leader.start();
--- a/placement/wave_rows.ts
+++ b/placement/wave_rows.ts
@@ -1,6 +1,6 @@
 /** Rows with the progress of maintenance waves, from which a successor of the leader continues. */
 import { z } from 'zod';
-import { PLACEMENT_PARTITION } from '../scheduling/job_rows';
+import { decodeJsonRow, PLACEMENT_PARTITION } from '../scheduling/job_rows';
 import type { RowAddress } from '../store/row_store';
 
 export const WAVE_TABLE = 'waves';
@@ -23,6 +23,7 @@
   return JSON.stringify(progress);
 }
 
+/** Throws {@link RowFormatError} if the row cannot be decoded. */
 export function decodeWaveProgress(value: string): WaveProgress {
-  return waveProgressSchema.parse(JSON.parse(value));
+  return decodeJsonRow(waveProgressSchema, value);
 }
--- a/relay/forwarding_job_operations.ts
+++ b/relay/forwarding_job_operations.ts
@@ -46,7 +46,10 @@
         if (timeoutMs <= 0)
           throw new StoreUnavailableError('The deadline leaves no time to forward the submission.');
         const row = encodeJob({ ...job, acceptedAtMs: clock.wallMs() });
-        return z.boolean().parse(await this.forward(JOB_SUBMIT_METHOD, { job: row, patienceMs: timeoutMs }));
+        return decodeResult(
+          z.boolean(),
+          await this.forward(JOB_SUBMIT_METHOD, { job: row, patienceMs: timeoutMs }),
+        );
       },
     );
   }
@@ -54,21 +57,21 @@
   override state(jobId: string): Promise<JobState | null> {
     return this.localThenForwarded(
       () => this.options.local.state(jobId),
-      async () => stateSchema.parse(await this.forward(JOB_STATE_METHOD, { jobId })),
+      async () => decodeResult(stateSchema, await this.forward(JOB_STATE_METHOD, { jobId })),
     );
   }
 
   override cancel(jobId: string): Promise<boolean> {
     return this.localThenForwarded(
       () => this.options.local.cancel(jobId),
-      async () => z.boolean().parse(await this.forward(JOB_CANCEL_METHOD, { jobId })),
+      async () => decodeResult(z.boolean(), await this.forward(JOB_CANCEL_METHOD, { jobId })),
     );
   }
 
   override pending(queueId: string): Promise<number> {
     return this.localThenForwarded(
       () => this.options.local.pending(queueId),
-      async () => z.number().parse(await this.forward(PENDING_JOBS_METHOD, { queueId })),
+      async () => decodeResult(z.number(), await this.forward(PENDING_JOBS_METHOD, { queueId })),
     );
   }
 
@@ -110,3 +113,10 @@
     }
   }
 }
+
+/** Throws {@link StoreOutcomeUnknownError} for a result that another version may have sent: its call was applied. */
+function decodeResult<T>(schema: z.ZodType<T>, value: unknown): T {
+  const parsed = schema.safeParse(value);
+  if (!parsed.success) throw new StoreOutcomeUnknownError('The other process sent a malformed result.');
+  return parsed.data;
+}
--- a/relay/forwarding_job_operations_test.ts
+++ b/relay/forwarding_job_operations_test.ts
@@ -3,6 +3,7 @@
  * store, and against reporting a call as not applied that may have been.
  */
 import { serve, type ServerType } from '@hono/node-server';
+import { createServer } from 'node:http';
 import type { AddressInfo } from 'node:net';
 import { StoreJobOperations } from '../callers/store_job_operations';
 import { VirtualClock } from '../kernel/virtual_clock';
@@ -12,6 +13,7 @@
 import { StoreOutcomeUnknownError, StoreUnavailableError } from '../store/row_store';
 import { MemoryCounters } from '../telemetry/counters';
 import { MAY_TAKE_OVER } from './relay_calls';
+import { ProcessRegistry } from './process_registry';
 import { RelayClient } from './relay_client';
 import { relayApp } from './relay_server';
 import { ForwardingJobOperations } from './forwarding_job_operations';
@@ -97,4 +99,39 @@
     remoteStore.faults = { ...NO_ROW_STORE_FAULTS, down: true };
     expect(await client.findAcceptingPeer(MAY_TAKE_OVER, {}, 500)).toBeNull();
   });
+
+  test.each(['', 'null', '{', '{"jsonrpc":"2.0","id":1,"result":{"kind":"later"}}', '[1]'])(
+    'the response %s of another process leaves the outcome unknown or counts as none',
+    async (text) => {
+      const peer = createServer((_request, response) => response.end(text));
+      await new Promise<void>((resolve) => peer.listen(0, '127.0.0.1', resolve));
+      const address = `127.0.0.1:${(peer.address() as AddressInfo).port}`;
+      const peerClient = new RelayClient(() => [address]);
+      expect(await peerClient.findAcceptingPeer(MAY_TAKE_OVER, {}, 500)).toBeNull();
+      peerClient.close();
+      peer.closeAllConnections();
+      peer.close();
+    },
+  );
+
+  test('a malformed registration of a process is left out', async () => {
+    const virtualClock = new VirtualClock();
+    const store = new MemoryRowStore(new MemoryRows(), virtualClock);
+    const values = ['{', 'null', '{"address":7}', '{"address":"10.0.0.9:7000","processors":4}'];
+    await store.transact({
+      conditions: [],
+      writes: values.map((value, index) => ({ table: 'processes', partition: '', key: `n${index}`, value })),
+    });
+    const registry = new ProcessRegistry({
+      store,
+      clock: virtualClock,
+      nodeName: 'me',
+      address: 'a:1',
+      processors: 1,
+    });
+    registry.start();
+    await virtualClock.advanceAsync(50);
+    expect(registry.largerPeerAddresses()).toEqual(['10.0.0.9:7000']);
+    registry.stop();
+  });
 });
--- a/relay/process_registry.ts
+++ b/relay/process_registry.ts
@@ -64,10 +64,16 @@
       .map(({ address }) => address);
   }
 
-  /** Whether a process with far more processors than this one is registered; it may have stopped since. */
-  hasLargerPeer(): boolean {
+  /**
+   * Addresses of the processes with far more processors than this one, those with the
+   * most first; they may have stopped since.
+   */
+  largerPeerAddresses(): readonly string[] {
     const minProcessors = this.options.processors * LARGER_PEER_FACTOR;
-    return [...this.processes.values()].some(({ processors }) => processors >= minProcessors);
+    return [...this.processes.values()]
+      .filter(({ processors }) => processors >= minProcessors)
+      .sort((a, b) => b.processors - a.processors)
+      .map(({ address }) => address);
   }
 
   start(): void {
@@ -97,8 +103,19 @@
 
   private applyChange({ key, value }: RowChange): void {
     if (key === this.options.nodeName) return;
-    const parsed = value === null ? null : processSchema.safeParse(JSON.parse(value));
-    if (parsed?.success === true) this.processes.set(key, parsed.data);
+    const parsed = value === null ? null : decodeProcessRow(value);
+    if (parsed !== null) this.processes.set(key, parsed);
     else this.processes.delete(key);
   }
 }
+
+/** Returns `null` for a row that cannot be decoded; its process is not called. */
+function decodeProcessRow(value: string): ProcessRow | null {
+  try {
+    const parsed = processSchema.safeParse(JSON.parse(value));
+    return parsed.success ? parsed.data : null;
+  } catch (error) {
+    if (error instanceof SyntaxError) return null;
+    throw error;
+  }
+}
--- a/relay/relay_calls.ts
+++ b/relay/relay_calls.ts
@@ -21,9 +21,9 @@
 
 export type RelayOutcome = z.infer<typeof outcomeSchema>;
 
-/** Decodes the outcome of a call. Throws `ZodError` if the value is not a valid outcome. */
-export function decodeOutcome(value: unknown): RelayOutcome {
-  return outcomeSchema.parse(value);
+/** Decodes the outcome of a call; returns `null` if the value is not a valid outcome. */
+export function decodeOutcome(value: unknown): RelayOutcome | null {
+  return outcomeSchema.safeParse(value).data ?? null;
 }
 
 export const jobIdSchema = z.object({ jobId: z.string() });
--- a/relay/relay_client.ts
+++ b/relay/relay_client.ts
@@ -50,9 +50,14 @@
     return { kind: 'unavailable' };
   }
 
-  /** Calls the other processes one by one; returns the address of the first whose response is `true`. */
-  async findAcceptingPeer(method: string, params: object, timeoutMs: number): Promise<string | null> {
-    for (const address of this.addresses()) {
+  /** Calls the given processes one by one; returns the address of the first whose response is `true`. */
+  async findAcceptingPeer(
+    method: string,
+    params: object,
+    timeoutMs: number,
+    addresses = this.addresses(),
+  ): Promise<string | null> {
+    for (const address of addresses) {
       try {
         const outcome = await this.callPeer(address, method, params, timeoutMs);
         if (outcome?.kind === 'done' && outcome.value === true) return address;
@@ -79,9 +84,11 @@
         body,
         timeoutMs,
       });
-      if (!isJSONRPCResponse(response.body) || response.body.error !== undefined)
-        return { kind: 'unavailable' };
-      return decodeOutcome(response.body.result);
+      // The call may have been applied, whatever the peer sends instead of a response.
+      if (response.body === null || !isJSONRPCResponse(response.body)) return { kind: 'unknown' };
+      if (response.body.error !== undefined) return { kind: 'unavailable' };
+      // A process of another version may respond with an outcome that this one does not know.
+      return decodeOutcome(response.body.result) ?? { kind: 'unknown' };
     } catch (error) {
       if (error instanceof CallNotSentError) return null;
       if (error instanceof CallOutcomeUnknownError) throw new RelayOutcomeUnknownError(error.message);
--- a/relay/relay_plugin.ts
+++ b/relay/relay_plugin.ts
@@ -50,7 +50,7 @@
       onTakeoverRequest: (listener) => {
         this.onTakeoverRequest = listener;
       },
-      hasLargerPeer: () => registry.hasLargerPeer(),
+      largerPeerAddresses: () => registry.largerPeerAddresses(),
     });
     kernel.provide(
       JOB_OPERATIONS,
--- a/scheduling/job_rows.ts
+++ b/scheduling/job_rows.ts
@@ -106,10 +106,7 @@
 
 /** Throws {@link RowFormatError}. */
 export function decodeJob(value: string): AcceptedJob {
-  const parsed = jobRowSchema.safeParse(parseJson(value));
-  if (!parsed.success)
-    throw new RowFormatError(`The row of a job cannot be decoded: ${parsed.error.message}`);
-  const { jobId, queueId, teamId, acceptedAtMs, definition } = parsed.data;
+  const { jobId, queueId, teamId, acceptedAtMs, definition } = decodeJsonRow(jobRowSchema, value);
   return { jobId, queueId, teamId, acceptedAtMs, definition };
 }
 
@@ -144,10 +141,8 @@
 
 /** Throws {@link RowFormatError}. */
 export function decodeProgress(value: string): JobProgress {
-  const parsed = progressRowSchema.safeParse(parseJson(value));
-  if (!parsed.success)
-    throw new RowFormatError(`The row of a job's progress cannot be decoded: ${parsed.error.message}`);
-  return { state: parsed.data.state, tasks: new Map(parsed.data.tasks.map(decodeTask)) };
+  const { state, tasks } = decodeJsonRow(progressRowSchema, value);
+  return { state, tasks: new Map(tasks.map(decodeTask)) };
 }
 
 function decodeTask(row: z.infer<typeof taskSchema>): readonly [string, TaskProgress] {
@@ -156,6 +151,13 @@
   return [key, { isDone: isDone === 1, failures, lastFailedRun, lastRun, checkpoint, runs: records }];
 }
 
+/** Decodes a row of JSON. Throws {@link RowFormatError}. */
+export function decodeJsonRow<T>(schema: z.ZodType<T>, value: string): T {
+  const parsed = schema.safeParse(parseJson(value));
+  if (!parsed.success) throw new RowFormatError(`The row cannot be decoded: ${parsed.error.message}`);
+  return parsed.data;
+}
+
 function parseJson(value: string): unknown {
   try {
     return JSON.parse(value) as unknown;
