End a permission by both clocks, since one leaves out suspensions

Cause: found by reading, after the report "a process that had been paused acted on a permission that had run out": the monotonic clock of the process leaves out the time for which the machine was suspended. A leader resumed after 8 s took its lease for valid for up to 1.75 s. Workers know the successor's token by then, but the instance service knows it only for the instances that the successor has commanded, so that a move or maintenance of any other instance would have been carried out, with tasks of the successor on it. A command that waited for a connection was sent after the resumption without a check.

Change: ValidityWindow closes when either clock says so; after a jump of the wall clock the leader renews on its next tick. Commands to instances ask for the permission again when they have got their connection. Weighed: the boot clock (Node.js reads it from a file of the system, with 10 ms resolution). Results of runs look up only the other runs of a task that ended, not of its whole step.

Not shown: bytes that the kernel had taken before the suspension.

--- a/kernel/clock.ts
+++ b/kernel/clock.ts
@@ -12,8 +12,9 @@
 /** Source of time. All intervals are measured with {@link Clock.monotonicMs}. */
 export abstract class Clock {
   /**
-   * Milliseconds since an arbitrary origin; never decreases, and includes the
-   * time for which the process was suspended.
+   * Milliseconds since an arbitrary origin; never decreases. It includes the time for
+   * which the process was stopped, but on some systems not the time for which the whole
+   * machine was suspended.
    */
   abstract monotonicMs(): number;
 
--- a/kernel/virtual_clock.ts
+++ b/kernel/virtual_clock.ts
@@ -20,6 +20,7 @@
  */
 export class VirtualClock extends Clock {
   private nowMs = 0;
+  private wallOffsetMs = 0;
   private sequence = 0;
   private readonly pendingTimers = new Set<PendingTimer>();
 
@@ -28,7 +29,12 @@
   }
 
   override wallMs(): number {
-    return this.nowMs;
+    return this.nowMs + this.wallOffsetMs;
+  }
+
+  /** Moves the wall clock, as a jump does, or a suspension of the machine. */
+  jumpWall(offsetMs: number): void {
+    this.wallOffsetMs += offsetMs;
   }
 
   override schedule(delayMs: number, callback: () => void): Timer {
--- a/net/http_channel.ts
+++ b/net/http_channel.ts
@@ -41,6 +41,8 @@
   readonly headers?: Readonly<Record<string, string>>;
   /** Sent as JSON. */
   readonly body?: unknown;
+  /** Asked when the call has got a connection; if `false`, it is not sent. */
+  readonly maySend?: () => boolean;
 }
 
 export interface HttpResponse {
@@ -76,7 +78,7 @@
   }
 
   /** Throws {@link CallNotSentError} or {@link CallOutcomeUnknownError}. */
-  call({ method, path, timeoutMs, headers, body }: HttpCall): Promise<HttpResponse> {
+  call({ method, path, timeoutMs, headers, body, maySend }: HttpCall): Promise<HttpResponse> {
     return new Promise((resolve, reject) => {
       const options = {
         method,
@@ -84,7 +86,7 @@
         headers: body === undefined ? { ...headers } : { 'content-type': 'application/json', ...headers },
         ...(body === undefined ? {} : { body: JSON.stringify(body) }),
       };
-      this.connectionPool.dispatch(options, new CallHandler({ timeoutMs, resolve, reject }));
+      this.connectionPool.dispatch(options, new CallHandler({ timeoutMs, resolve, reject, maySend }));
     });
   }
 
@@ -96,6 +98,7 @@
 
 interface CallHandlerOptions {
   readonly timeoutMs: number;
+  readonly maySend: (() => boolean) | undefined;
   readonly resolve: (response: HttpResponse) => void;
   readonly reject: (error: Error) => void;
 }
@@ -128,6 +131,8 @@
     this.controller = controller;
     // The call waited for a connection until after its time limit, and must not be sent any more.
     if (this.hasTimedOut) controller.abort(new CallNotSentError('The time limit had passed.'));
+    else if (this.options.maySend?.() === false)
+      controller.abort(new CallNotSentError('The permission to send the call had ended.'));
   }
 
   onResponseStart(_controller: Dispatcher.DispatchController, statusCode: number): void {
--- a/net/http_channel_test.ts
+++ b/net/http_channel_test.ts
@@ -69,3 +69,23 @@
   await channel.call({ ...CALL, path: '/third' });
   expect(received).toEqual(['/first', '/third']);
 });
+
+test('a call whose permission ends while it waits for a connection is never sent', async () => {
+  const received: string[] = [];
+  let release: () => void = () => undefined;
+  const channel = await serve((request, response) => {
+    received.push(request.url ?? '');
+    if (request.url === '/first') release = () => response.end('{}');
+    else response.end('{}');
+  });
+  let isPermitted = true;
+  const first = channel.call({ ...CALL, path: '/first' });
+  const second = channel.call({ ...CALL, path: '/second', maySend: () => isPermitted });
+  const rejected = expect(second).rejects.toThrow(CallNotSentError);
+  while (received.length === 0) await new Promise((resolve) => setImmediate(resolve));
+  isPermitted = false;
+  release();
+  await Promise.all([first, rejected]);
+  await channel.call({ ...CALL, path: '/third' });
+  expect(received).toEqual(['/first', '/third']);
+});
--- a/placement/fenced_writer.ts
+++ b/placement/fenced_writer.ts
@@ -11,6 +11,7 @@
 } from '../store/row_store';
 import type { AcquiredLease } from './leader_election';
 import { decodeLease, encodeLease, LEASE_ADDRESS, type LeaseRow } from './lease_row';
+import { momentOf, ValidityWindow } from './validity_window';
 
 /**
  * Maximum number of rows besides the lease in one transaction; the condition and the
@@ -94,7 +95,7 @@
 export class FencedWriter {
   private leaseRow: LeaseRow;
   private leaseVersion: number;
-  private validUntilMs: number;
+  private readonly validity: ValidityWindow;
   private readonly staged = new Map<string, StagedWrite>();
   /** Actions in the order in which they were requested. */
   private readonly pendingActions: { readonly stageNumber: number; readonly action: () => void }[] = [];
@@ -110,9 +111,9 @@
     const { lease, leaseMs } = options;
     this.leaseRow = lease.row;
     this.leaseVersion = lease.version;
-    this.validUntilMs = lease.sentAtMs + leaseMs - EXPIRY_MARGIN_MS;
-    this.lastSentAtMs = lease.sentAtMs;
-    this.lastCommitAtMs = lease.sentAtMs;
+    this.validity = new ValidityWindow(options.clock, leaseMs - EXPIRY_MARGIN_MS, lease.sentAt);
+    this.lastSentAtMs = lease.sentAt.monotonicMs;
+    this.lastCommitAtMs = lease.sentAt.monotonicMs;
     this.schedule(RENEW_INTERVAL_MS);
   }
 
@@ -122,7 +123,12 @@
 
   /** Whether this process may act as the leader now. */
   isValid(): boolean {
-    return !this.isClosed && this.options.clock.monotonicMs() < this.validUntilMs;
+    return !this.isClosed && this.validity.isOpen();
+  }
+
+  /** Renews the lease now, for example after the wall clock has jumped. */
+  renewSoon(): void {
+    if (!this.isCommitting) this.scheduleCommit();
   }
 
   /** Whether this process's transactions have been failing for a while. */
@@ -213,8 +219,8 @@
     const batch = this.nextBatch();
     const next = { ...this.leaseRow, sequence: this.leaseRow.sequence + 1 };
     this.leaseRow = next;
-    const sentAtMs = this.options.clock.monotonicMs();
-    this.lastSentAtMs = sentAtMs;
+    const sentAt = momentOf(this.options.clock);
+    this.lastSentAtMs = sentAt.monotonicMs;
     try {
       const result = await this.options.store.transact({
         conditions: [{ ...LEASE_ADDRESS, version: this.leaseVersion }],
@@ -224,7 +230,7 @@
       this.leaseVersion = result.version;
       this.lastCommitAtMs = this.options.clock.monotonicMs();
       this.failedAttempts = 0;
-      this.validUntilMs = sentAtMs + this.options.leaseMs - EXPIRY_MARGIN_MS;
+      this.validity.renew(sentAt);
       for (const { staged } of batch) this.markCommitted(staged);
       return true;
     } catch (error) {
--- a/placement/fenced_writer_test.ts
+++ b/placement/fenced_writer_test.ts
@@ -65,3 +65,23 @@
   expect(done).toEqual(['stored']);
   expect((await store.readOne(ADDRESS))?.value).toBe('1');
 });
+
+test.each([1_800, 3_000, 8_000, 30_000])(
+  'after a suspension of %s ms nothing may be done until the lease has been renewed',
+  async (suspendedMs) => {
+    const { clock, store, writer } = await setUp();
+    await clock.advanceAsync(700);
+    expect(writer.isValid()).toBe(true);
+    // The monotonic clock leaves the suspension out.
+    clock.jumpWall(suspendedMs);
+    expect(writer.isValid()).toBe(false);
+    writer.renewSoon();
+    await clock.advanceAsync(50);
+    expect(writer.isValid()).toBe(true);
+    clock.jumpWall(-suspendedMs);
+    expect(writer.isValid()).toBe(true);
+    store.faults = { ...NO_ROW_STORE_FAULTS, down: true };
+    await clock.advanceAsync(2_000);
+    expect(writer.isValid()).toBe(false);
+  },
+);
--- a/placement/leader_election.ts
+++ b/placement/leader_election.ts
@@ -2,6 +2,7 @@
 import type { Clock } from '../kernel/clock';
 import { RowFormatError } from '../scheduling/job_rows';
 import { isStoreFailure, type RowStore, type StoredRow } from '../store/row_store';
+import { momentOf, type Moment } from './validity_window';
 import { decodeLease, encodeLease, LEASE_ADDRESS, NO_LEASE, type LeaseRow } from './lease_row';
 
 /** How often the lease is read while another process holds it, in milliseconds. */
@@ -28,8 +29,8 @@
 export interface AcquiredLease {
   readonly row: LeaseRow;
   readonly version: number;
-  /** When the acquiring transaction was sent, on this process's monotonic clock. */
-  readonly sentAtMs: number;
+  /** When the acquiring transaction was sent. */
+  readonly sentAt: Moment;
 }
 
 export interface LeaderElectionOptions {
@@ -146,12 +147,12 @@
   private async takeOver(row: StoredRow | null): Promise<AcquiredLease | null> {
     const previous = row === null ? NO_LEASE : decodeLease(row.value);
     const next = { ...this.options.identity, epoch: previous.epoch + 1, sequence: 0 };
-    const sentAtMs = this.options.clock.monotonicMs();
+    const sentAt = momentOf(this.options.clock);
     const result = await this.options.store.transact({
       conditions: [{ ...LEASE_ADDRESS, version: row?.version ?? 0 }],
       writes: [{ ...LEASE_ADDRESS, value: encodeLease(next) }],
     });
     if (result.kind === 'conflict') return null;
-    return { row: next, version: result.version, sentAtMs };
+    return { row: next, version: result.version, sentAt };
   }
 }
--- a/placement/placement_leader.ts
+++ b/placement/placement_leader.ts
@@ -175,8 +175,12 @@
       state: this.state,
       fleet: this.fleet,
       demand: this.demand,
-      issuer: { leader: lease.row.nodeName, fencingToken: lease.row.epoch },
-      commandsFromMs: lease.sentAtMs + options.instanceCommandDelayMs,
+      issuer: {
+        leader: lease.row.nodeName,
+        fencingToken: lease.row.epoch,
+        mayCommand: () => this.writer.isValid(),
+      },
+      commandsFromMs: lease.sentAt.monotonicMs + options.instanceCommandDelayMs,
       onFenced: () => {
         this.loseLeadership('a command to an instance was fenced');
       },
@@ -495,6 +499,7 @@
       this.tick();
     });
     if (this.writer.isStoreUnreachable()) this.options.onStoreUnreachable();
+    if (!this.writer.isValid()) this.writer.renewSoon();
     this.fleet.closeIdleSessions();
     this.unixOffsetMs = this.readUnixOffset();
     this.reporter.tick();
--- a/placement/run_result_handler.ts
+++ b/placement/run_result_handler.ts
@@ -83,11 +83,11 @@
       this.stopRuns(job);
       return;
     }
-    const { isGang } = record.step(result.task.step);
-    const siblings = record.runsOfStep(result.task.occurrence, result.task.step);
-    for (const run of siblings) {
-      const isOtherRunOfDoneTask = run.task.index === result.task.index && result.outcome === 'done';
-      if (isOtherRunOfDoneTask || (isGang && result.outcome !== 'done')) this.stopRun(run);
+    const { task, outcome } = result;
+    if (outcome === 'done') {
+      for (const run of record.task(task).runs) this.stopRun({ ...run, task });
+    } else if (record.step(task.step).isGang) {
+      for (const run of record.runsOfStep(task.occurrence, task.step)) this.stopRun(run);
     }
   }
 
--- a/scheduling/instance_operations.ts
+++ b/scheduling/instance_operations.ts
@@ -18,6 +18,8 @@
   /** Node name of the leader. */
   readonly leader: string;
   readonly fencingToken: number;
+  /** Asked again just before the command is sent: the leader's permission may have ended meanwhile. */
+  readonly mayCommand: () => boolean;
 }
 
 /**
