Let a small leader make way at once, and ask all larger processes together

Change: it looks at once, while it loads, and every 0.5 s, and asks all larger processes at the same time.

--- a/placement/leader_succession.ts
+++ b/placement/leader_succession.ts
@@ -17,14 +17,14 @@
  * instead, in milliseconds. A small machine cannot carry a burst, and an outage of the
  * store may have left it as the only candidate.
  */
-const STEP_DOWN_INTERVAL_MS = 1_500;
+const STEP_DOWN_INTERVAL_MS = 500;
 
 export interface LeaderSuccessionOptions {
   readonly clock: Clock;
   readonly client: Pick<RelayClient, 'findAcceptingPeer' | 'callPeer'>;
   /** Addresses of processes on far larger machines, the largest first. */
   readonly largerPeerAddresses: () => readonly string[];
-  readonly leader: Pick<PlacementLeader, 'isActive' | 'hasStopped' | 'resign' | 'release'>;
+  readonly leader: Pick<PlacementLeader, 'hasStopped' | 'resign' | 'release'>;
   readonly epoch: number;
   readonly logger: Logger;
 }
@@ -62,12 +62,19 @@
    */
   async watchForLargerPeer(onReleased: () => void): Promise<void> {
     const { clock, client, leader, epoch, largerPeerAddresses, logger } = this.options;
+    let isFirst = true;
     while (!leader.hasStopped()) {
-      await clock.delay(STEP_DOWN_INTERVAL_MS);
-      if (!leader.isActive() || this.isHandingOver) continue;
-      const addresses = largerPeerAddresses();
-      const successor = await client.findAcceptingPeer(MAY_TAKE_OVER, {}, HANDOVER_TIMEOUT_MS, addresses);
-      if (successor === null || !leader.isActive() || this.hasBegunHandover()) continue;
+      if (!isFirst) await clock.delay(STEP_DOWN_INTERVAL_MS);
+      isFirst = false;
+      if (this.isHandingOver) continue;
+      // All at once, since each that cannot be reached costs the whole timeout.
+      const responses = await Promise.all(
+        largerPeerAddresses().map((address) =>
+          client.findAcceptingPeer(MAY_TAKE_OVER, {}, HANDOVER_TIMEOUT_MS, [address]),
+        ),
+      );
+      const successor = responses.find((address) => address !== null);
+      if (successor === undefined || leader.hasStopped() || this.hasBegunHandover()) continue;
       this.isHandingOver = true;
       logger.info(LOG_EVENTS.leaderMadeWay, { epoch, successor });
       await leader.release();
--- a/placement/leader_succession_test.ts
+++ b/placement/leader_succession_test.ts
@@ -20,7 +20,7 @@
   const succession = new LeaderSuccession({
     clock: harness.clock,
     client: {
-      findAcceptingPeer: () => Promise.resolve(largerAddresses[0] ?? null),
+      findAcceptingPeer: (_method, _params, _timeoutMs, addresses) => Promise.resolve(addresses?.[0] ?? null),
       callPeer: (_address, _method, { epoch }: { readonly epoch?: number }) => {
         large.onLeaderResigned(epoch ?? 0);
         return Promise.resolve({ kind: 'done', value: true });
