Limit the starts while the leader's loop runs late

Tasks that run for 0.64 s take 2.5 s from their record to their recorded end, since each start, report and transaction waits behind all others, so that nearly no job meets its target although most workers are idle.

Change: AdaptiveStartLimiter lowers the rate of starts while planned passes run more than 50 ms late, to nine tenths of what was carried in the last 2 s and no less than 400 a second and core, and raises it again; gangs and long-running steps are exempt. Pools in which few tasks wait are planned first. The planner stops when the pass has its starts. Weighed: a fixed number for each pass (fits one size of machine), more processes that command workers (docs/platform.md).

--- a/bench/leader/leader_under_load.ts
+++ b/bench/leader/leader_under_load.ts
@@ -70,6 +70,7 @@
     maxWorkerLeaseMs: MAX_LEASE_MS,
     retentionMs: 120_000,
     instanceCommandDelayMs: 0,
+    processors: 1,
     instanceCommandsPerSecond: 300,
     counters,
     logger: Logger.create({ level: 'info', destination: { write: () => undefined } }),
--- a/placement/_placement_harness.ts
+++ b/placement/_placement_harness.ts
@@ -252,6 +252,7 @@
       maxWorkerLeaseMs: FAKE_LEASE_MS,
       retentionMs: RETENTION_MS,
       instanceCommandDelayMs: 0,
+      processors: 1,
       instanceCommandsPerSecond: harness.instanceCommandsPerSecond,
       counters: this.counters,
       logger: Logger.create({ level: 'silent' }),
--- a/placement/leader_reporter.ts
+++ b/placement/leader_reporter.ts
@@ -2,6 +2,7 @@
 import type { Clock } from '../kernel/clock';
 import { addResources, combineResources, NO_RESOURCES, type Resources } from '../model/resources';
 import type { FleetRules } from '../scheduling/fleet_rules';
+import type { StartLimiter } from '../scheduling/start_limiter';
 import { LOG_EVENTS } from '../telemetry/events_catalogue';
 import type { Logger } from '../telemetry/logger';
 import type { FencedWriter } from './fenced_writer';
@@ -25,6 +26,7 @@
   readonly state: PlacementState;
   readonly fleet: WorkerFleet;
   readonly demand: PoolDemandTracker;
+  readonly limiter: StartLimiter;
   readonly rules: () => FleetRules | null;
   readonly logger: Logger;
 }
@@ -43,7 +45,7 @@
   }
 
   private logSummary(): void {
-    const { clock, demand, fleet, state, logger } = this.options;
+    const { clock, demand, fleet, state, limiter, logger } = this.options;
     const nowMs = clock.monotonicMs();
     const rules = this.options.rules();
     if (rules === null || nowMs - this.lastSummaryAtMs < SUMMARY_INTERVAL_MS) return;
@@ -63,7 +65,12 @@
       Math.round(state.occupancy.ofTeam(teamId).processors),
       Math.round(upperLimit.processors),
     ]);
-    logger.info(LOG_EVENTS.poolSummary, { pools, teams });
+    const startLimit = limiter.limitPerSecond();
+    logger.info(LOG_EVENTS.poolSummary, {
+      startLimitPerSecond: Number.isFinite(startLimit) ? Math.round(startLimit) : null,
+      pools,
+      teams,
+    });
   }
 
   private writeQueueStatus(): void {
--- a/placement/placement_leader.ts
+++ b/placement/placement_leader.ts
@@ -31,6 +31,7 @@
 import { PoolDemandTracker } from './pool_demand';
 import { RunResultHandler } from './run_result_handler';
 import { isStuck, observedRuns } from './straggler_detection';
+import { AdaptiveStartLimiter } from '../scheduling/start_limiter';
 import { BurstForecast } from '../scheduling/burst_forecast';
 import { BurstMemoryKeeper } from './burst_memory';
 import { WorkerHealth } from './worker_health';
@@ -61,6 +62,9 @@
  */
 const PLAN_DELAY_MS = 8;
 
+/** Delay of the next planning pass while the number of starts is limited, in milliseconds. */
+const LIMITED_PLAN_DELAY_MS = 25;
+
 /** Interval of the checks that depend only on the passage of time, in milliseconds. */
 const TICK_MS = 250;
 
@@ -85,6 +89,8 @@
    * of two leaders.
    */
   readonly instanceCommandDelayMs: number;
+  /** Number of processor cores that this process may use; may be a fraction. */
+  readonly processors: number;
   /** Commands to instances that the platform accepts per second. */
   readonly instanceCommandsPerSecond: number;
   readonly counters: Counters;
@@ -109,6 +115,7 @@
   private readonly burstMemory: BurstMemoryKeeper;
   private readonly instanceController: InstanceController;
   private readonly placer: TaskPlacer;
+  private readonly limiter: AdaptiveStartLimiter;
   private readonly jobFollower: TableFollower;
   private readonly workerFollower: TableFollower;
   /** Progress that earlier leaders stored, by job, until all jobs are loaded. */
@@ -157,11 +164,13 @@
       fleet: this.fleet,
       health: this.health,
     });
+    this.limiter = new AdaptiveStartLimiter(options.processors);
     const forecast = new BurstForecast();
     this.burstMemory = new BurstMemoryKeeper({ store, writer: this.writer, forecast });
     this.demand = new PoolDemandTracker({ clock, state: this.state, rules, forecast });
     this.reporter = new LeaderReporter({
       ...options,
+      limiter: this.limiter,
       writer: this.writer,
       state: this.state,
       fleet: this.fleet,
@@ -193,6 +202,7 @@
       health: this.health,
       instanceController: this.instanceController,
       demand: this.demand,
+      limiter: this.limiter,
       advice: new AdviceCache({
         clock,
         advice: options.advice,
@@ -485,10 +495,14 @@
     if (poolId !== undefined) this.schedulePlanOf(poolId);
   }
 
-  private startPlanTimer(): void {
+  private startPlanTimer(delayMs = PLAN_DELAY_MS): void {
     if (this.planTimer !== null || this.isStopped || !this.isLoaded) return;
-    this.planTimer = this.options.clock.schedule(PLAN_DELAY_MS, () => {
+    const { clock } = this.options;
+    const dueAtMs = clock.monotonicMs() + delayMs;
+    this.planTimer = clock.schedule(delayMs, () => {
       this.planTimer = null;
+      const nowMs = clock.monotonicMs();
+      this.limiter.recordDelay(nowMs - dueAtMs, nowMs);
       this.plan();
     });
   }
@@ -515,7 +529,7 @@
     if (rules === null || this.isStopped || !this.writer.isValid()) return;
     const { changedPoolIds } = this;
     this.changedPoolIds = new Set();
-    this.placer.plan(rules, this.unixMs(), changedPoolIds);
+    if (this.placer.plan(rules, this.unixMs(), changedPoolIds)) this.startPlanTimer(LIMITED_PLAN_DELAY_MS);
   }
 
   /**
--- a/placement/placement_plugin.ts
+++ b/placement/placement_plugin.ts
@@ -100,7 +100,7 @@
 
   /** Acts as the leader; resolves once leadership is lost. */
   private async lead(kernel: Kernel, lease: AcquiredLease): Promise<void> {
-    const { instanceTurnMs, maxWorkerLeaseMs, endedJobRetentionMs, instanceCommandsPerSecond } =
+    const { instanceTurnMs, maxWorkerLeaseMs, endedJobRetentionMs, instanceCommandsPerSecond, processors } =
       kernel.use(NODE_SETTINGS);
     const { rules, waves } = kernel.use(OPERATOR_STATE);
     await new Promise<void>((resolve) => {
@@ -119,6 +119,7 @@
         retentionMs: endedJobRetentionMs,
         instanceCommandDelayMs: lease.row.epoch > 1 ? instanceTurnMs - LEADER_LEASE_MS : 0,
         instanceCommandsPerSecond,
+        processors,
         counters: kernel.use(COUNTERS),
         logger: kernel.use(LOGGER),
         onStoreUnreachable: () => {
--- a/placement/plan_request.ts
+++ b/placement/plan_request.ts
@@ -149,12 +149,14 @@
   readonly state: PlacementState;
   readonly rules: FleetRules;
   readonly nowMs: number;
+  /** Maximum number of tasks to start; see {@link PlanRequest.maxStarts}. */
+  readonly maxStarts: number;
   /** Workers on which the queue's policy permits a step; `null` if the queue has no policy. */
   readonly allowedWorkers: (candidate: Candidate) => ReadonlySet<string> | null;
 }
 
 export function buildPlanRequest(options: PlanRequestOptions): PlanRequest {
-  const { candidates, workers, order, state, rules } = options;
+  const { candidates, workers, order, state, rules, maxStarts } = options;
   const steps = order.sort(candidates).map((candidate) => planStep(candidate, options));
   const teamIds = new Set(candidates.map(({ job }) => job.record.job.teamId));
   const teamHeadroom = new Map<string, Resources>();
@@ -163,7 +165,7 @@
     if (teamId !== null && limit !== undefined)
       teamHeadroom.set(teamId, remainingUnder(limit, state.occupancy.ofTeam(teamId)));
   }
-  return { workers, steps, teamHeadroom };
+  return { workers, steps, teamHeadroom, maxStarts };
 }
 
 /** Resources that a team may still use under its limit; 0 in the limit means no limit. */
@@ -190,7 +192,6 @@
     failedWorkerIds: failedWorkers(record, readyStep),
     allowedWorkerIds: allowedWorkers(candidate),
     mayRunRemote: nowMs - job.acceptedAtMs > REMOTE_WAIT_MS,
-    maxStarts: waiting.length,
   };
 }
 
--- a/placement/task_placer.ts
+++ b/placement/task_placer.ts
@@ -6,6 +6,7 @@
 import type { RunResult, TaskRun } from '../scheduling/job_record';
 import { planPool, type Assignment, type PlanWorker } from '../scheduling/placement_planner';
 import { SlackOrder } from '../scheduling/queue_order';
+import type { StartLimiter } from '../scheduling/start_limiter';
 import type { Counters } from '../telemetry/counters';
 import { LOG_EVENTS } from '../telemetry/events_catalogue';
 import type { Logger } from '../telemetry/logger';
@@ -39,6 +40,7 @@
   readonly instanceController: InstanceController;
   readonly advice: AdviceCache;
   readonly demand: PoolDemandTracker;
+  readonly limiter: StartLimiter;
   readonly rules: () => FleetRules | null;
   readonly counters: Counters;
   readonly logger: Logger;
@@ -51,24 +53,31 @@
   /** Since when a long-running step has waiting tasks that fit on no worker, by step. */
   private readonly unplacedSinceMs = new Map<string, number>();
 
-  /** Pools in which steps wait because their team has reached its limit. */
+  /** Pools in which steps wait because their team, or this process, has reached its limit. */
   private readonly limitedPoolIds = new Set<string>();
+  /** Whether the latest pass left out tasks that this process cannot start yet. */
+  private isStartLimited = false;
 
   constructor(private readonly options: TaskPlacerOptions) {}
 
   /**
    * Plans the given pools, or all of them for `null`, and the pools in which a team's
    * limit has held steps back, since a run that ends anywhere may have made room under it.
-   * `unixMs` is the time against which due times of jobs are compared.
+   * `unixMs` is the time against which due times of jobs are compared. Returns whether
+   * tasks were left out that this process cannot start yet.
    */
-  plan(rules: FleetRules, unixMs: number, changedPoolIds: ReadonlySet<string> | null): void {
+  plan(rules: FleetRules, unixMs: number, changedPoolIds: ReadonlySet<string> | null): boolean {
+    this.isStartLimited = false;
     const { state, clock } = this.options;
     const nowMs = clock.monotonicMs();
     const poolIds = changedPoolIds === null ? null : new Set([...changedPoolIds, ...this.limitedPoolIds]);
     const byPool = candidatesByPool({ state, rules, nowMs, unixMs, poolIds });
     for (const poolId of poolIds ?? [...this.limitedPoolIds])
       if (!byPool.has(poolId)) this.limitedPoolIds.delete(poolId);
-    for (const [poolId, candidates] of byPool) this.planPool(poolId, candidates, rules, nowMs);
+    // A burst in one pool does not use up the starts of pools in which few tasks wait.
+    const pools = [...byPool].sort(([, a], [, b]) => waitingTasks(a) - waitingTasks(b));
+    for (const [poolId, candidates] of pools) this.planPool(poolId, candidates, rules, nowMs);
+    return this.isStartLimited;
   }
 
   /** Records the waiting steps, from which the desired pool sizes are computed. */
@@ -91,7 +100,7 @@
   }
 
   private planPool(poolId: string, candidates: readonly Candidate[], rules: FleetRules, nowMs: number): void {
-    const { state } = this.options;
+    const { state, limiter, counters } = this.options;
     const workers = this.workersOf(poolId);
     const workerIds = workers.map(({ workerId }) => workerId);
     const request = buildPlanRequest({
@@ -101,10 +110,16 @@
       state,
       rules,
       nowMs,
+      maxStarts: limiter.available(nowMs),
       allowedWorkers: (candidate) => this.allowedWorkers(candidate, workerIds),
     });
-    const { assignments, unplaced, isLimitReached } = planPool(request);
-    if (isLimitReached) this.limitedPoolIds.add(poolId);
+    const { assignments, unplaced, isLimitReached, isStartLimited } = planPool(request);
+    limiter.take(assignments.length);
+    if (isStartLimited) {
+      counters.increment('placement.starts_deferred');
+      this.isStartLimited = true;
+    }
+    if (isLimitReached || isStartLimited) this.limitedPoolIds.add(poolId);
     else this.limitedPoolIds.delete(poolId);
     this.preemptForLongRunning(candidates, new Set(unplaced), poolId, nowMs);
     if (assignments.length === 0) return;
@@ -336,3 +351,7 @@
 function withReserve(demand: Resources, capacity: Resources): Resources {
   return { ...demand, processors: demand.processors + capacity.processors * SPECULATION_RESERVE };
 }
+
+function waitingTasks(candidates: readonly Candidate[]): number {
+  return candidates.reduce((sum, { readyStep }) => sum + readyStep.waiting.length, 0);
+}
--- a/scheduling/placement_planner.ts
+++ b/scheduling/placement_planner.ts
@@ -37,8 +37,6 @@
   readonly allowedWorkerIds: ReadonlySet<string> | null;
   /** Whether the step has waited long enough to run on a rack other than that of its data. */
   readonly mayRunRemote: boolean;
-  /** Maximum number of tasks of the step to place in this pass; a gang is exempt. */
-  readonly maxStarts: number;
 }
 
 /** Resources that each team may still use, by team; a team without an entry has no limit. */
@@ -48,6 +46,8 @@
   readonly workers: readonly PlanWorker[];
   readonly steps: readonly PlanStep[];
   readonly teamHeadroom: TeamHeadroom;
+  /** Maximum number of tasks to place, without limit if absent; gangs and long-running steps are exempt. */
+  readonly maxStarts?: number;
 }
 
 export interface Assignment {
@@ -62,6 +62,8 @@
   readonly unplaced: readonly string[];
   /** Whether a step was not placed because its team has reached its limit. */
   readonly isLimitReached: boolean;
+  /** Whether tasks were left out because of {@link PlanRequest.maxStarts}. */
+  readonly isStartLimited: boolean;
 }
 
 /**
@@ -95,21 +97,28 @@
    */
   private readonly unplaceableDemands: Resources[] = [];
   private isLimitReached = false;
+  private isStartLimited = false;
+  private remainingStarts: number;
 
-  constructor({ workers, teamHeadroom }: PlanRequest) {
+  constructor({ workers, teamHeadroom, maxStarts = Infinity }: PlanRequest) {
+    this.remainingStarts = maxStarts;
     this.workers = new Map(workers.map((worker) => [worker.workerId, worker]));
     this.teamHeadroom = new Map(teamHeadroom);
   }
 
   result(): Plan {
-    const { assignments, unplaced, isLimitReached } = this;
-    return { assignments, unplaced, isLimitReached };
+    const { assignments, unplaced, isLimitReached, isStartLimited } = this;
+    return { assignments, unplaced, isLimitReached, isStartLimited };
   }
 
   place(step: PlanStep): void {
-    const needsAll = step.definition.isGang;
-    const taskIndexes = step.waiting.slice(0, needsAll ? undefined : step.maxStarts);
-    const placements = this.placeTasks(step, taskIndexes);
+    const { isGang, isLongRunning } = step.definition;
+    const isExempt = isGang || isLongRunning;
+    const maxTasks = isExempt ? step.waiting.length : Math.min(step.waiting.length, this.remainingStarts);
+    if (maxTasks < step.waiting.length) this.isStartLimited = true;
+    if (maxTasks <= 0) return;
+    const placements = this.placeTasks(step, step.waiting.slice(0, maxTasks));
+    if (!isExempt) this.remainingStarts -= placements.length;
     if (placements.length < step.waiting.length) this.unplaced.push(step.stepKey);
     for (const { index, workerId } of placements)
       this.assignments.push({ stepKey: step.stepKey, index, workerId });
--- a/scheduling/placement_planner_test.ts
+++ b/scheduling/placement_planner_test.ts
@@ -33,7 +33,6 @@
     failedWorkerIds: new Set(),
     allowedWorkerIds: null,
     mayRunRemote: true,
-    maxStarts: tasks,
     ...more,
   };
 }
