Move instances only as fast as the leader can open sessions with their workers

Weighed: no limit on commands but fewer sessions opened at once (the workers are paid for while they wait).

--- a/placement/instance_controller.ts
+++ b/placement/instance_controller.ts
@@ -60,6 +60,8 @@
   readonly logger: Logger;
   /** Commands that the platform accepts per second. */
   readonly instanceCommandsPerSecond: number;
+  /** Number of processor cores that this process may use; may be a fraction. */
+  readonly processors: number;
   /** Called when the platform rejects this leader's fencing token. */
   readonly onFenced: () => void;
 }
@@ -83,8 +85,8 @@
   private readonly incomingByPool = new Map<string, number>();
 
   constructor(private readonly options: InstanceControllerOptions) {
-    const { clock, operations, counters, instanceCommandsPerSecond } = options;
-    this.budget = new CommandBudget(instanceCommandsPerSecond);
+    const { clock, operations, counters, instanceCommandsPerSecond, processors } = options;
+    this.budget = new CommandBudget({ acceptedPerSecond: instanceCommandsPerSecond, processors });
     this.directory = new InstanceDirectory({ clock, operations, counters });
   }
 
--- a/scheduling/command_budget_test.ts
+++ b/scheduling/command_budget_test.ts
@@ -2,7 +2,7 @@
 import { CommandBudget } from './command_budget';
 
 test.each([5, 64, 310])('never grants more than %s commands in any second', (perSecond) => {
-  const budget = new CommandBudget(perSecond);
+  const budget = new CommandBudget({ acceptedPerSecond: perSecond, processors: 8 });
   const grantedAtMs: number[] = [];
   for (let nowMs = 1_000; nowMs < 11_000; nowMs += 50)
     for (let asked = 0; asked < 200; asked += 1) if (budget.take(nowMs)) grantedAtMs.push(nowMs);
@@ -12,3 +12,12 @@
     if (fromMs < 10_000) expect(inSecond).toBeGreaterThanOrEqual(Math.floor(perSecond * 0.85));
   }
 });
+
+test('a small process sends no more commands than it can open sessions for', () => {
+  const budget = new CommandBudget({ acceptedPerSecond: 310, processors: 0.3 });
+  let granted = 0;
+  for (let nowMs = 1_000; nowMs < 6_000; nowMs += 50)
+    for (let asked = 0; asked < 200; asked += 1) if (budget.take(nowMs)) granted += 1;
+  expect(granted).toBeGreaterThan(140);
+  expect(granted).toBeLessThanOrEqual(160);
+});
