Save the product's tables to a file and restore them into an empty store

Cause: all state is in the platform's store, and operators had no way to keep it over a loss or a move of the store.

Refused while a process leads, for damaged or later files, and for a store that is not empty. The fake worker of the tests told the runs of different jobs apart by the task's position only; it uses the job's id now.

The scheduler's bundle changes by two names of constants.

--- a/cli/command_line.ts
+++ b/cli/command_line.ts
@@ -22,7 +22,9 @@
   | { readonly kind: 'check_settings'; readonly file: string }
   | { readonly kind: 'print_settings'; readonly file: string }
   | { readonly kind: 'explain'; readonly requestId: string; readonly files: readonly string[] }
-  | { readonly kind: 'store_status'; readonly storeAddress: string };
+  | { readonly kind: 'store_status'; readonly storeAddress: string }
+  | { readonly kind: 'save_snapshot'; readonly storeAddress: string; readonly file: string }
+  | { readonly kind: 'restore_snapshot'; readonly storeAddress: string; readonly file: string };
 
 export interface CommandLine {
   readonly command: Command;
@@ -49,6 +51,10 @@
                       list configured objects and their state
   check-settings FILE report every unusable field of a scheduler's settings file
   print-settings FILE show the settings that a scheduler would use
+  snapshot save FILE  with --store: copy the scheduler's tables to FILE, while no
+                      process runs
+  snapshot restore FILE
+                      with --store: copy them back into an empty store
   explain ID LOG...   print the decisions on a request from log files, in order
 
 Flags
@@ -56,7 +62,7 @@
   --json              print JSON
   --url URL           operators API of an entry instance; may be repeated
                       (ENDIVESTAND_URL, separated by commas)
-  --store HOST:PORT   with status: the platform's store
+  --store HOST:PORT   with status or snapshot: the platform's store
   --operator-token T  token of the operators API (ENDIVESTAND_OPERATOR_TOKEN)
   --help              print this text
 
@@ -117,10 +123,12 @@
 function parseCommand(positionals: readonly string[], { dryRun, store }: CommandFlags): Command {
   const [first, second, third] = positionals;
   if (store !== undefined) {
-    if (first !== 'status' || positionals.length !== 1)
-      throw new UsageError('--store can be used only with status.');
-    return { kind: 'store_status', storeAddress: store };
+    if (first === 'status' && positionals.length === 1) return { kind: 'store_status', storeAddress: store };
+    const snapshot = parseSnapshotCommand(positionals, store);
+    if (snapshot === null) throw new UsageError('--store can be used only with status and snapshot.');
+    return snapshot;
   }
+  if (first === 'snapshot') throw new UsageError('Specify the store with --store HOST:PORT.');
   if (first === 'apply' && second !== undefined && positionals.length === 2)
     return { kind: 'apply', file: second, dryRun };
   if (dryRun) throw new UsageError('--dry-run can be used only with apply.');
@@ -138,6 +146,13 @@
   );
 }
 
+function parseSnapshotCommand(positionals: readonly string[], storeAddress: string): LocalCommand | null {
+  const [first, second, file] = positionals;
+  if (first !== 'snapshot' || file === undefined || positionals.length !== 3) return null;
+  if (second === 'save') return { kind: 'save_snapshot', storeAddress, file };
+  return second === 'restore' ? { kind: 'restore_snapshot', storeAddress, file } : null;
+}
+
 function parseLocalCommand(positionals: readonly string[]): LocalCommand | null {
   const [first, second, ...files] = positionals;
   if (second === undefined) return null;
@@ -146,9 +161,18 @@
   return first === 'explain' && files.length > 0 ? { kind: 'explain', requestId: second, files } : null;
 }
 
+const LOCAL_KINDS: ReadonlySet<Command['kind']> = new Set<LocalCommand['kind']>([
+  'check_settings',
+  'print_settings',
+  'explain',
+  'store_status',
+  'save_snapshot',
+  'restore_snapshot',
+]);
+
 /** Whether a command needs no entry instance. */
 export function isLocalCommand(command: Command): command is LocalCommand {
-  return ['check_settings', 'print_settings', 'explain', 'store_status'].includes(command.kind);
+  return LOCAL_KINDS.has(command.kind);
 }
 
 function parseTicketNumber(word: string | undefined): number {
--- a/cli/endivestand_main.ts
+++ b/cli/endivestand_main.ts
@@ -1,6 +1,6 @@
 #!/usr/bin/env node
 /** Main function of the `endivestand` command for operators. */
-import { readFile } from 'node:fs/promises';
+import { readFile, writeFile } from 'node:fs/promises';
 import { text } from 'node:stream/consumers';
 import { StoreUnavailableError } from '../store/row_store';
 import { isLocalCommand, parseCommandLine, USAGE, UsageError } from './command_line';
@@ -17,7 +17,7 @@
   if (command.kind === 'help') return USAGE;
   const readInput = (path: string): Promise<string> =>
     path === '-' ? text(process.stdin) : readFile(path, 'utf8');
-  if (isLocalCommand(command)) return runLocalCommand(command, { json, readFile: readInput });
+  if (isLocalCommand(command)) return runLocalCommand(command, { json, readFile: readInput, writeFile });
   return runCommand(command, { client: new OperatorClient({ urls, token }), json, readFile: readInput });
 }
 
--- a/cli/run_local_command.ts
+++ b/cli/run_local_command.ts
@@ -5,6 +5,7 @@
 import type { LocalCommand } from './command_line';
 import { explainRequest, renderExplanation } from './explain';
 import { checkSettings, printSettings } from './node_settings_report';
+import { loadSnapshot, saveSnapshot } from './snapshot_command';
 import { readStoreStatus, renderStoreStatus } from './store_status';
 
 /** No log line contains the request id; the message is the text for the operator. */
@@ -15,6 +16,7 @@
 export interface RunLocalCommandOptions {
   readonly json: boolean;
   readonly readFile: (path: string) => Promise<string>;
+  readonly writeFile: (path: string, text: string) => Promise<void>;
 }
 
 /**
@@ -33,6 +35,12 @@
       const status = await readStoreStatus({ store, rowCodec: new WirePlatformRowCodec() });
       return json ? `${JSON.stringify(status, null, 2)}\n` : renderStoreStatus(status);
     })
+    .with({ kind: 'save_snapshot' }, ({ storeAddress, file }) =>
+      saveSnapshot(new HttpRowStore(storeAddress), file, options),
+    )
+    .with({ kind: 'restore_snapshot' }, ({ storeAddress, file }) =>
+      loadSnapshot(new HttpRowStore(storeAddress), file, options),
+    )
     .exhaustive();
 }
 
--- a/cli/run_local_command_test.ts
+++ b/cli/run_local_command_test.ts
@@ -3,23 +3,30 @@
 import { UnusableSettingsError } from './node_settings_report';
 import { runLocalCommand, UnknownRequestError } from './run_local_command';
 
-const OPTIONS = { json: false, readFile: () => Promise.resolve('{}') };
+const OPTIONS = {
+  json: false,
+  readFile: () => Promise.resolve('{}'),
+  writeFile: () => Promise.resolve(),
+};
 
 test.each([
   [['check-settings', 'f'], { kind: 'check_settings', file: 'f' }],
   [['print-settings', 'f'], { kind: 'print_settings', file: 'f' }],
   [['explain', 'id', 'a.log', 'b.log'], { kind: 'explain', requestId: 'id', files: ['a.log', 'b.log'] }],
   [['status', '--store', 'h:1'], { kind: 'store_status', storeAddress: 'h:1' }],
+  [['snapshot', 'save', 'f', '--store', 'h:1'], { kind: 'save_snapshot', storeAddress: 'h:1', file: 'f' }],
 ])('%j needs neither an entry instance nor a token', (args, command) => {
   expect(parseCommandLine(args, {}).command).toEqual(command);
 });
 
-test.each([[['check-settings']], [['explain', 'id']], [['pools', '--store', 'h:1']]])(
-  'rejects %j',
-  (args) => {
-    expect(() => parseCommandLine(args, {})).toThrow(UsageError);
-  },
-);
+test.each([
+  [['check-settings']],
+  [['explain', 'id']],
+  [['pools', '--store', 'h:1']],
+  [['snapshot', 'save', 'f']],
+])('rejects %j', (args) => {
+  expect(() => parseCommandLine(args, {})).toThrow(UsageError);
+});
 
 test('check-settings reports every unusable field', async () => {
   const checked = runLocalCommand({ kind: 'check_settings', file: 'f' }, OPTIONS);
--- a/placement/_fake_worker_gateway.ts
+++ b/placement/_fake_worker_gateway.ts
@@ -62,7 +62,8 @@
     if (command.leaseUntilMs <= this.nowMs()) return this.respond('expired');
     const key = taskKey(command.task);
     if (this.runs.has(runKey(command))) return this.respond(null);
-    if (command.run <= (this.highestRun.get(key) ?? 0)) return this.respond('superseded');
+    if (command.run <= (this.highestRun.get(jobTaskKey(command.task)) ?? 0))
+      return this.respond('superseded');
     this.extendLease(command.leaseUntilMs);
     this.runs.set(runKey(command), { task: command.task, run: command.run, checkpoint: command.checkpoint });
     this.starts.push(`${key}#${command.run}`);
@@ -73,7 +74,7 @@
     this.expireLease();
     const rejected = this.checkToken(command);
     if (rejected !== null) return this.respond(rejected);
-    const key = taskKey(command.task);
+    const key = jobTaskKey(command.task);
     this.highestRun.set(key, Math.max(command.run, this.highestRun.get(key) ?? 0));
     if (this.runs.has(runKey(command))) this.finish(command, 'stopped');
     return this.respond(null);
@@ -109,7 +110,7 @@
   /** Ends a run with an outcome. */
   finish({ task, run }: { readonly task: TaskId; readonly run: number }, outcome: RunOutcome): void {
     this.runs.delete(runKey({ task, run }));
-    this.highestRun.set(taskKey(task), run);
+    this.highestRun.set(jobTaskKey(task), run);
     this.endedRuns = [
       ...this.endedRuns,
       { sequenceNumber: this.endedRuns.length + 1, task, run, outcome, checkpoint: '' },
@@ -206,3 +207,7 @@
 function taskKey({ occurrence, step, index }: TaskId): string {
   return `${occurrence}.${step}.${index}`;
 }
+
+function jobTaskKey(task: TaskId): string {
+  return `${task.jobId}.${taskKey(task)}`;
+}
--- a/relay/process_registry.ts
+++ b/relay/process_registry.ts
@@ -4,8 +4,8 @@
 import { isStoreFailure, type RowChange, type RowStore } from '../store/row_store';
 import { TableFollower } from '../store/table_follower';
 
-const TABLE = 'processes';
-const PARTITION = '';
+export const PROCESS_TABLE = 'processes';
+export const PROCESS_PARTITION = '';
 
 /**
  * Time for which one call of the change feed waits for changes, in milliseconds.
@@ -48,8 +48,8 @@
     this.follower = new TableFollower({
       store: options.store,
       clock: options.clock,
-      table: TABLE,
-      partitions: [PARTITION],
+      table: PROCESS_TABLE,
+      partitions: [PROCESS_PARTITION],
       waitMs: CHANGE_FEED_WAIT_MS,
       onChanges: (changes) => {
         for (const change of changes) this.applyChange(change);
@@ -89,7 +89,7 @@
   private async register(): Promise<void> {
     const { store, clock, nodeName, address, processors } = this.options;
     const value = JSON.stringify({ address, processors });
-    const row = { table: TABLE, partition: PARTITION, key: nodeName, value };
+    const row = { table: PROCESS_TABLE, partition: PROCESS_PARTITION, key: nodeName, value };
     while (!this.isStopped) {
       try {
         await store.transact({ conditions: [], writes: [row] });
