Split the placement leader and the instance controller by responsibility

Change: leader_parts.ts wires the parts, job_intake.ts reads the rows of jobs, worker_time.ts the workers' clocks, stuck_runs.ts stops stuck runs, and wave_progress_keeper.ts keeps the progress of waves. Code is moved, not changed.

--- a/placement/instance_controller.ts
+++ b/placement/instance_controller.ts
@@ -8,7 +8,6 @@
   type CommandIssuer,
   type InstanceCommandResult,
 } from '../scheduling/instance_operations';
-import { PLACEMENT_PARTITION, RowFormatError } from '../scheduling/job_rows';
 import type { PlatformRowCodec } from '../scheduling/platform_row_codec';
 import { CommandBudget } from '../scheduling/command_budget';
 import { planPoolSizes, type PoolDemand, type SizedInstance } from '../scheduling/pool_sizing';
@@ -22,13 +21,7 @@
 import type { FencedWriter } from './fenced_writer';
 import type { PlacementState } from './placement_state';
 import type { PoolDemandTracker } from './pool_demand';
-import {
-  decodeWaveProgress,
-  encodeWaveProgress,
-  WAVE_TABLE,
-  waveAddress,
-  type WaveProgress,
-} from './wave_rows';
+import { WaveProgressKeeper } from './wave_progress_keeper';
 import type { WorkerFleet } from './worker_fleet';
 import type { WorkerSession } from './worker_session';
 
@@ -68,9 +61,7 @@
 
 export class InstanceController {
   private readonly directory: InstanceDirectory;
-  private readonly waveProgress = new Map<number, WaveProgress>();
-  /** Waves whose stored progress cannot be decoded; continuing them might maintain an instance twice. */
-  private readonly unusableWaves = new Set<number>();
+  private readonly waveProgress: WaveProgressKeeper;
   private readonly drainingForWave = new Set<string>();
   /** Instances of open waves whose maintenance has not begun. */
   private readonly dueForWave = new Set<string>();
@@ -87,6 +78,7 @@
   constructor(private readonly options: InstanceControllerOptions) {
     const { clock, operations, counters, instanceCommandsPerSecond, processors } = options;
     this.budget = new CommandBudget({ acceptedPerSecond: instanceCommandsPerSecond, processors });
+    this.waveProgress = new WaveProgressKeeper(options);
     this.directory = new InstanceDirectory({ clock, operations, counters });
   }
 
@@ -94,19 +86,7 @@
   async load(): Promise<void> {
     // The list is needed soon, but no decision of the load waits for it.
     void this.directory.refresh();
-    const { rows } = await this.options.store.read({ table: WAVE_TABLE, partition: PLACEMENT_PARTITION });
-    for (const { key, value } of rows) this.loadWave(Number(key), value);
-  }
-
-  private loadWave(waveNumber: number, value: string): void {
-    try {
-      this.waveProgress.set(waveNumber, decodeWaveProgress(value));
-    } catch (error) {
-      if (!(error instanceof RowFormatError)) throw error;
-      this.unusableWaves.add(waveNumber);
-      this.options.counters.increment('placement.wave_row_unusable');
-      this.options.logger.warn(LOG_EVENTS.waveRowUnusable, { waveNumber, reason: error.message });
-    }
+    await this.waveProgress.load();
   }
 
   /** Whether a worker's instance takes no new tasks because it is about to be moved or maintained. */
@@ -179,13 +159,12 @@
   }
 
   private advanceWave(wave: MaintenanceWave, rules: FleetRules): void {
-    if (this.unusableWaves.has(wave.waveNumber)) return;
-    const progress = this.progressOf(wave);
-    if (progress.isCompleted) return;
+    const progress = this.waveProgress.progressOf(wave);
+    if (progress === null || progress.isCompleted) return;
     const begun = new Set(progress.begun);
     const remaining = wave.instanceIds.filter((id) => !begun.has(id) && this.directory.get(id) !== undefined);
     if (remaining.length === 0) {
-      this.saveWave(wave, { ...progress, isCompleted: true });
+      this.waveProgress.save(wave, { ...progress, isCompleted: true });
       return;
     }
     for (const id of remaining) this.dueForWave.add(id);
@@ -234,23 +213,6 @@
     );
   }
 
-  private progressOf(wave: MaintenanceWave): WaveProgress {
-    const known = this.waveProgress.get(wave.waveNumber);
-    if (known !== undefined) return known;
-    const progress = { begun: [], isCompleted: false, orderedAtMs: this.options.clock.wallMs() };
-    this.saveWave(wave, progress);
-    return progress;
-  }
-
-  private saveWave({ waveNumber }: MaintenanceWave, progress: WaveProgress): void {
-    const hasStateChanged = this.waveProgress.get(waveNumber)?.isCompleted !== progress.isCompleted;
-    this.waveProgress.set(waveNumber, progress);
-    this.options.writer.stage({ ...waveAddress(waveNumber), value: encodeWaveProgress(progress) });
-    if (!hasStateChanged) return;
-    this.options.writer.stage(this.options.rowCodec.encodeWaveStatus(waveNumber, progress.isCompleted));
-    if (progress.isCompleted) this.options.logger.info(LOG_EVENTS.waveCompleted, { waveNumber });
-  }
-
   private waveInstance(instanceId: string, rules: FleetRules): WaveInstance {
     const instance = this.directory.get(instanceId);
     const isDispensable = instance !== undefined && this.isDispensable(instance, rules);
@@ -355,9 +317,9 @@
     );
     this.options.counters.increment('instances.maintain', result ?? 'unanswered');
     if (result !== 'accepted' && result !== 'not_in_wave') return;
-    const progress = this.waveProgress.get(wave.waveNumber);
-    if (progress === undefined || progress.begun.includes(instanceId)) return;
-    this.saveWave(wave, { ...progress, begun: [...progress.begun, instanceId] });
+    const progress = this.waveProgress.progressOf(wave);
+    if (progress === null || progress.begun.includes(instanceId)) return;
+    this.waveProgress.save(wave, { ...progress, begun: [...progress.begun, instanceId] });
   }
 
   private async move(instanceId: string, poolId: string): Promise<void> {
--- /dev/null
+++ b/placement/job_intake.ts
@@ -0,0 +1,108 @@
+/** Reads the rows of jobs into the leader's state: those of earlier leaders first, then new ones. */
+import type { Clock } from '../kernel/clock';
+import type { FleetRules } from '../scheduling/fleet_rules';
+import { isEnded, type JobProgress } from '../scheduling/job_progress';
+import { cancelledJobId, decodeJob, decodeProgress, RowFormatError } from '../scheduling/job_rows';
+import type { RowChange, StoredRow } from '../store/row_store';
+import type { Counters } from '../telemetry/counters';
+import { LOG_EVENTS } from '../telemetry/events_catalogue';
+import type { Logger } from '../telemetry/logger';
+import type { OpenJob } from './job_registry';
+import type { PlacementState } from './placement_state';
+
+export interface JobIntakeOptions {
+  readonly clock: Clock;
+  readonly state: PlacementState;
+  readonly rules: () => FleetRules | null;
+  readonly counters: Counters;
+  readonly logger: Logger;
+  /** Called for each job that is accepted after all earlier ones have been loaded. */
+  readonly onArrival: (job: OpenJob, poolId: string) => void;
+  /** Called for each job that a caller has cancelled. */
+  readonly onCancelled: (job: OpenJob) => void;
+}
+
+/**
+ * Leaves out jobs of which a row cannot be decoded.
+ *
+ * @example
+ * ```ts
+ * intake.inheritProgress(progressRows);
+ * intake.handleChanges(jobRows);
+ * intake.finishLoading();
+ * ```
+ */
+export class JobIntake {
+  /** Progress that earlier leaders stored, by job, until all jobs are loaded. */
+  private readonly inheritedProgress = new Map<string, JobProgress>();
+  /** Jobs of which a row cannot be decoded. */
+  private readonly unusableJobIds = new Set<string>();
+  private isLoaded = false;
+
+  constructor(private readonly options: JobIntakeOptions) {}
+
+  /** Takes the progress of all jobs; has to come before the jobs. */
+  inheritProgress(rows: readonly StoredRow[]): void {
+    for (const { key, value } of rows) {
+      const decoded = this.decodeRow(key, () => decodeProgress(value));
+      if (decoded !== null) this.inheritedProgress.set(key, decoded);
+    }
+  }
+
+  /**
+   * Ends the loading: later jobs have just arrived. Ended jobs whose own rows have been
+   * removed are registered, so that their progress is removed later.
+   */
+  finishLoading(): void {
+    const { jobs } = this.options.state;
+    this.isLoaded = true;
+    for (const [jobId, { state }] of this.inheritedProgress)
+      if (isEnded(state) && !jobs.has(jobId)) jobs.recordEnded(jobId);
+    this.inheritedProgress.clear();
+  }
+
+  handleChanges(changes: readonly RowChange[]): void {
+    const cancelled: string[] = [];
+    for (const { key, value } of changes) {
+      const jobId = cancelledJobId(key);
+      // Only the leader removes rows, and by then it has recorded that the job ended.
+      if (value === null) continue;
+      if (jobId !== null) cancelled.push(jobId);
+      else this.handleJob(key, value);
+    }
+    for (const jobId of cancelled) {
+      const job = this.options.state.cancel(jobId);
+      if (job !== null) this.options.onCancelled(job);
+    }
+  }
+
+  private handleJob(key: string, value: string): void {
+    const { clock, state, rules, logger } = this.options;
+    const accepted = this.decodeRow(key, () => decodeJob(value));
+    if (accepted === null || this.unusableJobIds.has(key)) return;
+    const ageMs = this.isLoaded ? 0 : Math.max(0, clock.wallMs() - accepted.acceptedAtMs);
+    const progress = this.inheritedProgress.get(accepted.jobId);
+    const job = state.jobs.add(accepted, progress, clock.monotonicMs() - ageMs);
+    if (job === null) return;
+    state.addInheritedRuns(job);
+    const poolId = rules()?.queues.get(accepted.queueId)?.poolId;
+    if (poolId !== undefined && this.isLoaded) this.options.onArrival(job, poolId);
+    if (progress !== undefined) return;
+    const { jobId, queueId, teamId } = accepted;
+    logger.info(LOG_EVENTS.jobDiscovered, { jobId, queueId, teamId });
+  }
+
+  /** Decodes a row of a job; returns `null` for one that a later version wrote or that is corrupted. */
+  private decodeRow<T>(jobId: string, decode: () => T): T | null {
+    try {
+      return decode();
+    } catch (error) {
+      if (!(error instanceof RowFormatError)) throw error;
+      // Without its progress the job might run again; the next version of this system can read it.
+      this.unusableJobIds.add(jobId);
+      this.options.counters.increment('placement.job_row_unusable');
+      this.options.logger.warn(LOG_EVENTS.jobRowUnusable, { jobId, reason: error.message });
+      return null;
+    }
+  }
+}
--- /dev/null
+++ b/placement/leader_parts.ts
@@ -0,0 +1,226 @@
+/** Wires the parts of a placement leader. */
+import type { Clock } from '../kernel/clock';
+import { BurstForecast } from '../scheduling/burst_forecast';
+import type { FleetRules } from '../scheduling/fleet_rules';
+import type { InstanceOperations } from '../scheduling/instance_operations';
+import type { RunResult } from '../scheduling/job_record';
+import { JOB_PARTITIONS, JOB_TABLE } from '../scheduling/job_rows';
+import type { MaintenanceWave } from '../scheduling/maintenance_wave';
+import type { PlacementAdvice } from '../scheduling/placement_advice';
+import type { PlatformRowCodec } from '../scheduling/platform_row_codec';
+import { AdaptiveStartLimiter, type StartLimiter } from '../scheduling/start_limiter';
+import type { WorkerGateway } from '../scheduling/worker_gateway';
+import type { RowChange, RowStore } from '../store/row_store';
+import { TableFollower } from '../store/table_follower';
+import type { Counters } from '../telemetry/counters';
+import type { Logger } from '../telemetry/logger';
+import { AdviceCache } from './advice_cache';
+import { BurstMemoryKeeper } from './burst_memory';
+import { EndedJobSweep } from './ended_job_sweep';
+import { FencedWriter } from './fenced_writer';
+import { InstanceController } from './instance_controller';
+import { JobIntake } from './job_intake';
+import type { AcquiredLease } from './leader_election';
+import { LeaderReporter } from './leader_reporter';
+import { PlacementState } from './placement_state';
+import { PoolDemandTracker } from './pool_demand';
+import { RunResultHandler } from './run_result_handler';
+import type { SessionListener } from './session_listener';
+import { TaskPlacer } from './task_placer';
+import { WorkerFleet } from './worker_fleet';
+import { WorkerHealth } from './worker_health';
+import { WorkerTime } from './worker_time';
+
+/** How long one call for changed jobs waits, in milliseconds. A broken connection is detected within this time. */
+const JOB_FEED_WAIT_MS = 2_000;
+
+/**
+ * Pause between two calls for changed workers, in milliseconds. Each worker writes its
+ * entry every 1.5 s, and calls cost money.
+ */
+const WORKER_FEED_PAUSE_MS = 100;
+const WORKER_FEED_WAIT_MS = 1_000;
+
+export interface PlacementLeaderOptions {
+  readonly store: RowStore;
+  readonly clock: Clock;
+  readonly rowCodec: PlatformRowCodec;
+  readonly gateway: WorkerGateway;
+  readonly instances: InstanceOperations;
+  readonly advice: PlacementAdvice | null;
+  readonly rules: () => FleetRules | null;
+  readonly lease: AcquiredLease;
+  /** Maintenance waves that the operator has requested, by number. */
+  readonly waves: () => ReadonlyMap<number, MaintenanceWave>;
+  readonly leaseMs: number;
+  readonly maxWorkerLeaseMs: number;
+  /** Minimum time for which the state of an ended job can be read, in milliseconds. */
+  readonly retentionMs: number;
+  /**
+   * Time after the acquisition of the lease before commands to instances are sent, in
+   * milliseconds. It keeps the minimum time that the platform requires between commands
+   * of two leaders.
+   */
+  readonly instanceCommandDelayMs: number;
+  /** Number of processor cores that this process may use; may be a fraction. */
+  readonly processors: number;
+  /** Commands to instances that the platform accepts per second. */
+  readonly instanceCommandsPerSecond: number;
+  readonly counters: Counters;
+  readonly logger: Logger;
+  /** Called several times a second while this process's transactions fail. */
+  readonly onStoreUnreachable: () => void;
+  /** Called once when leadership is lost. */
+  readonly onLost: () => void;
+}
+
+/** What the parts tell the leader. */
+export interface LeaderHooks {
+  readonly sessionListener: SessionListener;
+  readonly onFenced: (reason: string) => void;
+  /** A run no longer exists, or its start was not sent. */
+  readonly onRunLost: (result: RunResult) => void;
+  /** All pools have to be planned again. */
+  readonly onPlanNeeded: () => void;
+  /** A pool has to be planned again. */
+  readonly onPoolChanged: (poolId: string) => void;
+  readonly onWorkerChanges: (changes: readonly RowChange[], isComplete: boolean) => void;
+}
+
+export interface LeaderParts {
+  readonly writer: FencedWriter;
+  readonly state: PlacementState;
+  readonly fleet: WorkerFleet;
+  readonly health: WorkerHealth;
+  readonly resultHandler: RunResultHandler;
+  readonly limiter: StartLimiter;
+  readonly demand: PoolDemandTracker;
+  readonly burstMemory: BurstMemoryKeeper;
+  readonly reporter: LeaderReporter;
+  readonly sweep: EndedJobSweep;
+  readonly instanceController: InstanceController;
+  readonly placer: TaskPlacer;
+  readonly intake: JobIntake;
+  readonly workerTime: WorkerTime;
+  readonly jobFollower: TableFollower;
+  readonly workerFollower: TableFollower;
+}
+
+/**
+ * Creates all parts; none of them acts before the leader starts.
+ *
+ * @example
+ * ```ts
+ * const { intake, jobFollower } = createLeaderParts(options, hooks);
+ * ```
+ */
+export function createLeaderParts(options: PlacementLeaderOptions, hooks: LeaderHooks): LeaderParts {
+  const { store, clock, lease, leaseMs, gateway, counters, maxWorkerLeaseMs, rules } = options;
+  const { onRunLost, onPlanNeeded, onPoolChanged, onWorkerChanges } = hooks;
+  const writer = new FencedWriter({
+    store,
+    clock,
+    lease,
+    leaseMs,
+    onLost: () => {
+      hooks.onFenced('another process acquired the lease');
+    },
+  });
+  const state = new PlacementState({ clock, writer, counters, rules });
+  const fleet = new WorkerFleet({
+    clock,
+    gateway,
+    listener: hooks.sessionListener,
+    fencingToken: lease.row.epoch,
+    maxLeaseMs: maxWorkerLeaseMs,
+    mayAct: () => writer.isValid(),
+    recordedRuns: (workerId) => state.runsOn(workerId),
+    onRunLost,
+  });
+  const health = new WorkerHealth();
+  const resultHandler = new RunResultHandler({ ...options, state, fleet, health });
+  const limiter = new AdaptiveStartLimiter(options.processors);
+  const forecast = new BurstForecast();
+  const burstMemory = new BurstMemoryKeeper({ store, writer, forecast });
+  const demand = new PoolDemandTracker({ clock, state, rules, forecast });
+  const reporter = new LeaderReporter({ ...options, limiter, writer, state, fleet, demand });
+  const sweep = new EndedJobSweep({ ...options, writer, jobs: state.jobs });
+  const instanceController = new InstanceController({
+    ...options,
+    operations: options.instances,
+    writer,
+    state,
+    fleet,
+    demand,
+    issuer: {
+      leader: lease.row.nodeName,
+      fencingToken: lease.row.epoch,
+      mayCommand: () => writer.isValid(),
+    },
+    commandsFromMs: lease.sentAt.monotonicMs + options.instanceCommandDelayMs,
+    onFenced: () => {
+      hooks.onFenced('a command to an instance was fenced');
+    },
+  });
+  const advice = new AdviceCache({ clock, advice: options.advice, counters, onResponse: onPlanNeeded });
+  const placer = new TaskPlacer({
+    ...options,
+    writer,
+    state,
+    fleet,
+    health,
+    instanceController,
+    demand,
+    limiter,
+    advice,
+    onNotSent: onRunLost,
+  });
+  const intake = new JobIntake({
+    ...options,
+    state,
+    onArrival: (job, poolId) => {
+      demand.recordArrival(job, poolId);
+      onPoolChanged(poolId);
+    },
+    onCancelled: (job) => {
+      resultHandler.stopRuns(job);
+    },
+  });
+  const jobFollower = new TableFollower({
+    store,
+    clock,
+    table: JOB_TABLE,
+    partitions: JOB_PARTITIONS,
+    waitMs: JOB_FEED_WAIT_MS,
+    onChanges: (changes) => {
+      intake.handleChanges(changes);
+    },
+  });
+  const workerFollower = new TableFollower({
+    store,
+    clock,
+    table: options.rowCodec.workerTable,
+    partitions: [options.rowCodec.partition],
+    waitMs: WORKER_FEED_WAIT_MS,
+    pauseMs: WORKER_FEED_PAUSE_MS,
+    onChanges: onWorkerChanges,
+  });
+  return {
+    writer,
+    state,
+    fleet,
+    health,
+    resultHandler,
+    limiter,
+    demand,
+    burstMemory,
+    reporter,
+    sweep,
+    instanceController,
+    placer,
+    intake,
+    workerTime: new WorkerTime(clock, fleet),
+    jobFollower,
+    workerFollower,
+  };
+}
--- a/placement/placement_leader.ts
+++ b/placement/placement_leader.ts
@@ -1,61 +1,24 @@
 /** The placement leader: active from the acquisition of the lease until the lease is lost or released. */
-import type { Clock, Timer } from '../kernel/clock';
+import type { Timer } from '../kernel/clock';
 import type { FleetRules } from '../scheduling/fleet_rules';
-import type { InstanceOperations } from '../scheduling/instance_operations';
-import { isEnded, type JobProgress } from '../scheduling/job_progress';
+import { isEnded } from '../scheduling/job_progress';
 import type { RunResult } from '../scheduling/job_record';
-import {
-  cancelledJobId,
-  decodeJob,
-  decodeProgress,
-  JOB_PARTITIONS,
-  JOB_TABLE,
-  PLACEMENT_PARTITION,
-  PROGRESS_TABLE,
-  RowFormatError,
-} from '../scheduling/job_rows';
-import { UnusableRowError, type PlatformRowCodec } from '../scheduling/platform_row_codec';
-import type { PlacementAdvice } from '../scheduling/placement_advice';
-import type { MaintenanceWave } from '../scheduling/maintenance_wave';
+import { PLACEMENT_PARTITION, PROGRESS_TABLE } from '../scheduling/job_rows';
+import { UnusableRowError } from '../scheduling/platform_row_codec';
 import type { WorkerEntry } from '../scheduling/worker_entry';
-import type { Rejection, ActiveRun, WorkerGateway } from '../scheduling/worker_gateway';
-import type { RowChange, RowStore } from '../store/row_store';
-import { TableFollower } from '../store/table_follower';
-import type { Counters } from '../telemetry/counters';
+import type { ActiveRun, Rejection } from '../scheduling/worker_gateway';
+import type { RowChange } from '../store/row_store';
 import { LOG_EVENTS } from '../telemetry/events_catalogue';
-import type { Logger } from '../telemetry/logger';
-import type { AcquiredLease } from './leader_election';
-import { FencedWriter } from './fenced_writer';
-import { PlacementState } from './placement_state';
-import { TaskPlacer } from './task_placer';
-import { PoolDemandTracker } from './pool_demand';
-import { RunResultHandler } from './run_result_handler';
-import { isStuck, observedRuns } from './straggler_detection';
-import { AdaptiveStartLimiter } from '../scheduling/start_limiter';
-import { BurstForecast } from '../scheduling/burst_forecast';
-import { BurstMemoryKeeper } from './burst_memory';
-import { WorkerHealth } from './worker_health';
-import { AdviceCache } from './advice_cache';
-import { EndedJobSweep } from './ended_job_sweep';
 import { evacuate } from './evacuation';
-import { LeaderReporter, meanCapacity, poolUsage } from './leader_reporter';
-import { InstanceController } from './instance_controller';
-import { throttleFillers } from './throttle_control';
-import { WorkerFleet } from './worker_fleet';
+import { createLeaderParts, type LeaderParts, type PlacementLeaderOptions } from './leader_parts';
+import { meanCapacity, poolUsage } from './leader_reporter';
 import { SessionListener, type ObservedEndedRun } from './session_listener';
 import type { SessionRun } from './session_run';
+import { observedRuns } from './straggler_detection';
+import { stopStuckRuns } from './stuck_runs';
+import { throttleFillers } from './throttle_control';
 import type { WorkerSession } from './worker_session';
 
-/** How long one call for changed jobs waits, in milliseconds. A broken connection is detected within this time. */
-const JOB_FEED_WAIT_MS = 2_000;
-
-/**
- * Pause between two calls for changed workers, in milliseconds. Each worker writes its
- * entry every 1.5 s, and calls cost money.
- */
-const WORKER_FEED_PAUSE_MS = 100;
-const WORKER_FEED_WAIT_MS = 1_000;
-
 /**
  * Delay from an event to the planning pass, in milliseconds, so that one pass handles
  * several events. Transactions are batched for longer than this.
@@ -68,64 +31,12 @@
 /** Interval of the checks that depend only on the passage of time, in milliseconds. */
 const TICK_MS = 250;
 
-export interface PlacementLeaderOptions {
-  readonly store: RowStore;
-  readonly clock: Clock;
-  readonly rowCodec: PlatformRowCodec;
-  readonly gateway: WorkerGateway;
-  readonly instances: InstanceOperations;
-  readonly advice: PlacementAdvice | null;
-  readonly rules: () => FleetRules | null;
-  readonly lease: AcquiredLease;
-  /** Maintenance waves that the operator has requested, by number. */
-  readonly waves: () => ReadonlyMap<number, MaintenanceWave>;
-  readonly leaseMs: number;
-  readonly maxWorkerLeaseMs: number;
-  /** Minimum time for which the state of an ended job can be read, in milliseconds. */
-  readonly retentionMs: number;
-  /**
-   * Time after the acquisition of the lease before commands to instances are sent, in
-   * milliseconds. It keeps the minimum time that the platform requires between commands
-   * of two leaders.
-   */
-  readonly instanceCommandDelayMs: number;
-  /** Number of processor cores that this process may use; may be a fraction. */
-  readonly processors: number;
-  /** Commands to instances that the platform accepts per second. */
-  readonly instanceCommandsPerSecond: number;
-  readonly counters: Counters;
-  readonly logger: Logger;
-  /** Called several times a second while this process's transactions fail. */
-  readonly onStoreUnreachable: () => void;
-  /** Called once when leadership is lost. */
-  readonly onLost: () => void;
-}
-
 /**
  * Reads the jobs, sends its fencing token to all workers, and places tasks until
  * {@link PlacementLeader.release} or the loss of leadership.
  */
 export class PlacementLeader extends SessionListener {
-  private readonly writer: FencedWriter;
-  private readonly state: PlacementState;
-  private readonly fleet: WorkerFleet;
-  private readonly health = new WorkerHealth();
-  private readonly resultHandler: RunResultHandler;
-  private readonly demand: PoolDemandTracker;
-  private readonly burstMemory: BurstMemoryKeeper;
-  private readonly instanceController: InstanceController;
-  private readonly placer: TaskPlacer;
-  private readonly limiter: AdaptiveStartLimiter;
-  private readonly jobFollower: TableFollower;
-  private readonly workerFollower: TableFollower;
-  /** Progress that earlier leaders stored, by job, until all jobs are loaded. */
-  private readonly inheritedProgress = new Map<string, JobProgress>();
-  /** Jobs of which a row cannot be decoded. */
-  private readonly unusableJobIds = new Set<string>();
-  private readonly reporter: LeaderReporter;
-  private readonly sweep: EndedJobSweep;
-  /** See {@link readUnixOffset}; read again on each tick. */
-  private unixOffsetMs: number | null = null;
+  private readonly parts: LeaderParts;
   private planTimer: Timer | null = null;
   private tickTimer: Timer | null = null;
   /** Pools to plan in the next pass; `null` for all. */
@@ -135,104 +46,21 @@
 
   constructor(private readonly options: PlacementLeaderOptions) {
     super();
-    const { store, clock, lease, leaseMs, gateway, counters, maxWorkerLeaseMs, rules } = options;
-    this.writer = new FencedWriter({
-      store,
-      clock,
-      lease,
-      leaseMs,
-      onLost: () => {
-        this.loseLeadership('another process acquired the lease');
+    this.parts = createLeaderParts(options, {
+      sessionListener: this,
+      onFenced: (reason) => {
+        this.loseLeadership(reason);
       },
-    });
-    this.state = new PlacementState({ clock, writer: this.writer, counters, rules });
-    this.fleet = new WorkerFleet({
-      clock,
-      gateway,
-      listener: this,
-      fencingToken: lease.row.epoch,
-      maxLeaseMs: maxWorkerLeaseMs,
-      mayAct: () => this.writer.isValid(),
-      recordedRuns: (workerId) => this.state.runsOn(workerId),
       onRunLost: (result) => {
         this.handleLostRun(result);
       },
-    });
-    this.resultHandler = new RunResultHandler({
-      ...options,
-      state: this.state,
-      fleet: this.fleet,
-      health: this.health,
-    });
-    this.limiter = new AdaptiveStartLimiter(options.processors);
-    const forecast = new BurstForecast();
-    this.burstMemory = new BurstMemoryKeeper({ store, writer: this.writer, forecast });
-    this.demand = new PoolDemandTracker({ clock, state: this.state, rules, forecast });
-    this.reporter = new LeaderReporter({
-      ...options,
-      limiter: this.limiter,
-      writer: this.writer,
-      state: this.state,
-      fleet: this.fleet,
-      demand: this.demand,
-    });
-    this.sweep = new EndedJobSweep({ ...options, writer: this.writer, jobs: this.state.jobs });
-    this.instanceController = new InstanceController({
-      ...options,
-      operations: options.instances,
-      writer: this.writer,
-      state: this.state,
-      fleet: this.fleet,
-      demand: this.demand,
-      issuer: {
-        leader: lease.row.nodeName,
-        fencingToken: lease.row.epoch,
-        mayCommand: () => this.writer.isValid(),
-      },
-      commandsFromMs: lease.sentAt.monotonicMs + options.instanceCommandDelayMs,
-      onFenced: () => {
-        this.loseLeadership('a command to an instance was fenced');
-      },
-    });
-    this.placer = new TaskPlacer({
-      ...options,
-      writer: this.writer,
-      state: this.state,
-      fleet: this.fleet,
-      health: this.health,
-      instanceController: this.instanceController,
-      demand: this.demand,
-      limiter: this.limiter,
-      advice: new AdviceCache({
-        clock,
-        advice: options.advice,
-        counters,
-        onResponse: () => {
-          this.schedulePlan();
-        },
-      }),
-      onNotSent: (result) => {
-        this.handleLostRun(result);
+      onPlanNeeded: () => {
+        this.schedulePlan();
       },
-    });
-    this.jobFollower = new TableFollower({
-      store,
-      clock,
-      table: JOB_TABLE,
-      partitions: JOB_PARTITIONS,
-      waitMs: JOB_FEED_WAIT_MS,
-      onChanges: (changes) => {
-        this.handleJobChanges(changes);
+      onPoolChanged: (poolId) => {
+        this.schedulePlanOf(poolId);
       },
-    });
-    this.workerFollower = new TableFollower({
-      store,
-      clock,
-      table: options.rowCodec.workerTable,
-      partitions: [options.rowCodec.partition],
-      waitMs: WORKER_FEED_WAIT_MS,
-      pauseMs: WORKER_FEED_PAUSE_MS,
-      onChanges: (changes, isComplete) => {
+      onWorkerChanges: (changes, isComplete) => {
         this.handleWorkerChanges(changes, isComplete);
       },
     });
@@ -243,42 +71,38 @@
    * errors of {@link RowStore.read}.
    */
   async start(): Promise<void> {
-    const { store } = this.options;
+    const { jobFollower, workerFollower, instanceController, burstMemory, intake, state, fleet } = this.parts;
     // Only the leader writes progress, so that it does not change between these reads.
     const [progress, handleJobs, handleWorkers] = await Promise.all([
-      store.read({ table: PROGRESS_TABLE, partition: PLACEMENT_PARTITION }),
-      this.jobFollower.read(),
-      this.workerFollower.read(),
-      this.instanceController.load(),
-      this.burstMemory.load(),
+      this.options.store.read({ table: PROGRESS_TABLE, partition: PLACEMENT_PARTITION }),
+      jobFollower.read(),
+      workerFollower.read(),
+      instanceController.load(),
+      burstMemory.load(),
     ]);
-    for (const { key, value } of progress.rows) {
-      const decoded = this.decodeRow(key, () => decodeProgress(value));
-      if (decoded !== null) this.inheritedProgress.set(key, decoded);
-    }
+    intake.inheritProgress(progress.rows);
     handleJobs();
     handleWorkers();
     if (this.hasStopped()) return;
     this.isLoaded = true;
-    this.recordEndedJobs();
-    this.inheritedProgress.clear();
-    this.fleet.expireOrphans([...this.state.jobs.openJobs()].flatMap(({ record }) => record.runs()));
-    for (const job of this.state.jobs.openJobs())
-      if (isEnded(job.record.state)) this.resultHandler.stopRuns(job);
-    void this.jobFollower.run();
-    void this.workerFollower.run();
+    intake.finishLoading();
+    fleet.expireOrphans([...state.jobs.openJobs()].flatMap(({ record }) => record.runs()));
+    for (const job of state.jobs.openJobs())
+      if (isEnded(job.record.state)) this.parts.resultHandler.stopRuns(job);
+    void jobFollower.run();
+    void workerFollower.run();
     this.tick();
   }
 
   /** Whether all jobs are loaded and this process may act as the leader now. */
   isActive(): boolean {
-    return this.isLoaded && !this.isStopped && this.writer.isValid();
+    return this.isLoaded && !this.isStopped && this.parts.writer.isValid();
   }
 
   /** Releases the lease. */
   async release(): Promise<void> {
     this.stop();
-    await this.writer.release();
+    await this.parts.writer.release();
     this.options.logger.info(LOG_EVENTS.leadershipLost, {
       epoch: this.options.lease.row.epoch,
       reason: 'released',
@@ -291,9 +115,9 @@
     this.isStopped = true;
     this.planTimer?.cancel();
     this.tickTimer?.cancel();
-    this.jobFollower.stop();
-    this.workerFollower.stop();
-    this.fleet.close();
+    this.parts.jobFollower.stop();
+    this.parts.workerFollower.stop();
+    this.parts.fleet.close();
   }
 
   /** Stops as the leader, in favour of another process that can reach the store. */
@@ -318,9 +142,9 @@
     if (this.isStopped) return;
     const { workerId } = session.worker;
     for (const endedRun of endedRuns)
-      this.resultHandler.handleResult({ ...endedRun, workerId }, endedRun.startedAtMs);
+      this.parts.resultHandler.handleResult({ ...endedRun, workerId }, endedRun.startedAtMs);
     const lastEndNumber = endedRuns.at(-1)?.sequenceNumber ?? 0;
-    this.writer.afterCommit(() => {
+    this.parts.writer.afterCommit(() => {
       session.markRecorded(lastEndNumber);
     });
     this.schedulePlanOf(session.entry.poolId);
@@ -347,7 +171,7 @@
     if (this.isStopped) return;
     session.setFrequentPolling(this.mustPollFrequently(session));
     for (const { task, run, checkpoint } of activeRuns) {
-      const record = this.state.jobs.get(task.jobId)?.record;
+      const record = this.parts.state.jobs.get(task.jobId)?.record;
       if (record === undefined || checkpoint === '') continue;
       const isRecorded = record.task(task).runs.some(({ run: number }) => number === run);
       if (isRecorded) record.saveCheckpoint(task, checkpoint);
@@ -357,12 +181,12 @@
   /** Sets the speed of the fillers on a worker. Returns whether its load or progress must be polled frequently. */
   private mustPollFrequently(session: WorkerSession): boolean {
     const { workerId } = session.worker;
-    if (this.state.longRunningCountOn(workerId) === 0 && this.state.fillerCountOn(workerId) === 0)
+    if (this.parts.state.longRunningCountOn(workerId) === 0 && this.parts.state.fillerCountOn(workerId) === 0)
       return false;
-    const mustPollLoad = this.writer.isValid() && throttleFillers(session, this.state);
+    const mustPollLoad = this.parts.writer.isValid() && throttleFillers(session, this.parts.state);
     return (
       mustPollLoad ||
-      observedRuns(session, this.state).some(
+      observedRuns(session, this.parts.state).some(
         ([run, observed]) => run.record.step(run.task.step).isLongRunning && observed.progressPercent < 100,
       )
     );
@@ -374,7 +198,7 @@
   }
 
   override onReplaced(session: WorkerSession): void {
-    this.fleet.remove(session);
+    this.parts.fleet.remove(session);
     this.schedulePlan();
   }
 
@@ -383,81 +207,22 @@
     return this.isStopped;
   }
 
-  /** Registers ended jobs whose own rows have been removed, so that their progress is removed later. */
-  private recordEndedJobs(): void {
-    for (const [jobId, { state }] of this.inheritedProgress) {
-      if (isEnded(state) && !this.state.jobs.has(jobId)) this.state.jobs.recordEnded(jobId);
-    }
-  }
-
   private loseLeadership(reason: string): void {
     if (this.isStopped) return;
     this.stop();
-    this.writer.close();
+    this.parts.writer.close();
     this.options.logger.warn(LOG_EVENTS.leadershipLost, { epoch: this.options.lease.row.epoch, reason });
     this.options.onLost();
   }
 
-  private handleJobChanges(changes: readonly RowChange[]): void {
-    const cancelled: string[] = [];
-    for (const { key, value } of changes) {
-      const jobId = cancelledJobId(key);
-      // Only the leader removes rows, and by then it has recorded that the job ended.
-      if (value === null) continue;
-      if (jobId !== null) cancelled.push(jobId);
-      else this.handleJob(key, value);
-    }
-    for (const jobId of cancelled) {
-      const job = this.state.cancel(jobId);
-      if (job !== null) this.resultHandler.stopRuns(job);
-    }
-  }
-
-  private handleJob(key: string, value: string): void {
-    const { clock, logger } = this.options;
-    const accepted = this.decodeRow(key, () => decodeJob(value));
-    if (accepted === null || this.unusableJobIds.has(key)) return;
-    const ageMs = this.isLoaded ? 0 : Math.max(0, clock.wallMs() - accepted.acceptedAtMs);
-    const progress = this.inheritedProgress.get(accepted.jobId);
-    const job = this.state.jobs.add(accepted, progress, clock.monotonicMs() - ageMs);
-    if (job === null) return;
-    this.state.addInheritedRuns(job);
-    const poolId = this.options.rules()?.queues.get(accepted.queueId)?.poolId;
-    if (poolId !== undefined && this.isLoaded) {
-      this.demand.recordArrival(job, poolId);
-      this.schedulePlanOf(poolId);
-    }
-    if (progress === undefined) {
-      logger.info(LOG_EVENTS.jobDiscovered, {
-        jobId: accepted.jobId,
-        queueId: accepted.queueId,
-        teamId: accepted.teamId,
-      });
-    }
-  }
-
-  /** Decodes a row of a job; returns `null` for one that a later version wrote or that is corrupted. */
-  private decodeRow<T>(jobId: string, decode: () => T): T | null {
-    try {
-      return decode();
-    } catch (error) {
-      if (!(error instanceof RowFormatError)) throw error;
-      // Without its progress the job might run again; the next version of this system can read it.
-      this.unusableJobIds.add(jobId);
-      this.options.counters.increment('placement.job_row_unusable');
-      this.options.logger.warn(LOG_EVENTS.jobRowUnusable, { jobId, reason: error.message });
-      return null;
-    }
-  }
-
   private handleWorkerChanges(changes: readonly RowChange[], isComplete: boolean): void {
     if (isComplete) {
       const listedIds = new Set(changes.map(({ key }) => key));
-      for (const { worker } of [...this.fleet.all()]) {
-        if (!listedIds.has(worker.workerId)) this.fleet.update(worker.workerId, null);
+      for (const { worker } of [...this.parts.fleet.all()]) {
+        if (!listedIds.has(worker.workerId)) this.parts.fleet.update(worker.workerId, null);
       }
     }
-    for (const { key, value } of changes) this.fleet.update(key, this.decodeEntry(key, value));
+    for (const { key, value } of changes) this.parts.fleet.update(key, this.decodeEntry(key, value));
     this.schedulePlan();
   }
 
@@ -474,7 +239,7 @@
   }
 
   private handleLostRun(result: RunResult): void {
-    if (!this.isStopped && this.resultHandler.handleLostRun(result)) this.schedulePlan();
+    if (!this.isStopped && this.parts.resultHandler.handleLostRun(result)) this.schedulePlan();
   }
 
   /** Schedules a planning pass over all pools. */
@@ -490,7 +255,7 @@
   }
 
   private schedulePlanOfJob(jobId: string): void {
-    const queueId = this.state.jobs.get(jobId)?.record.job.queueId;
+    const queueId = this.parts.state.jobs.get(jobId)?.record.job.queueId;
     const poolId = queueId === undefined ? undefined : this.options.rules()?.queues.get(queueId)?.poolId;
     if (poolId !== undefined) this.schedulePlanOf(poolId);
   }
@@ -502,7 +267,7 @@
     this.planTimer = clock.schedule(delayMs, () => {
       this.planTimer = null;
       const nowMs = clock.monotonicMs();
-      this.limiter.recordDelay(nowMs - dueAtMs, nowMs);
+      this.parts.limiter.recordDelay(nowMs - dueAtMs, nowMs);
       this.plan();
     });
   }
@@ -512,24 +277,25 @@
     this.tickTimer = this.options.clock.schedule(TICK_MS, () => {
       this.tick();
     });
-    if (this.writer.isStoreUnreachable()) this.options.onStoreUnreachable();
-    if (!this.writer.isValid()) this.writer.renewSoon();
-    this.fleet.closeIdleSessions();
-    this.unixOffsetMs = this.readUnixOffset();
-    this.reporter.tick();
-    if (this.writer.isValid()) void this.sweep.tick();
+    if (this.parts.writer.isStoreUnreachable()) this.options.onStoreUnreachable();
+    if (!this.parts.writer.isValid()) this.parts.writer.renewSoon();
+    this.parts.fleet.closeIdleSessions();
+    this.parts.workerTime.refresh();
+    this.parts.reporter.tick();
+    if (this.parts.writer.isValid()) void this.parts.sweep.tick();
     const rules = this.options.rules();
-    if (rules !== null && this.writer.isValid()) this.supervise(rules);
+    if (rules !== null && this.parts.writer.isValid()) this.supervise(rules);
     this.changedPoolIds = null;
     this.plan();
   }
 
   private plan(): void {
     const rules = this.options.rules();
-    if (rules === null || this.isStopped || !this.writer.isValid()) return;
+    if (rules === null || this.isStopped || !this.parts.writer.isValid()) return;
     const { changedPoolIds } = this;
     this.changedPoolIds = new Set();
-    if (this.placer.plan(rules, this.unixMs(), changedPoolIds)) this.startPlanTimer(LIMITED_PLAN_DELAY_MS);
+    if (this.parts.placer.plan(rules, this.parts.workerTime.unixMs(), changedPoolIds))
+      this.startPlanTimer(LIMITED_PLAN_DELAY_MS);
   }
 
   /**
@@ -539,65 +305,26 @@
   private supervise(rules: FleetRules): void {
     const { clock } = this.options;
     const nowMs = clock.monotonicMs();
-    for (const workerId of this.health.refresh(nowMs)) {
+    for (const workerId of this.parts.health.refresh(nowMs)) {
       this.options.counters.increment('workers.suspected');
       this.options.logger.warn(LOG_EVENTS.workerQuarantined, { workerId });
     }
-    this.placer.recordWaiting(rules, this.unixMs());
-    this.burstMemory.update(this.instanceController.instancesByPool(rules));
+    this.parts.placer.recordWaiting(rules, this.parts.workerTime.unixMs());
+    this.parts.burstMemory.update(this.parts.instanceController.instancesByPool(rules));
     const capacity = {
-      meanCapacity: meanCapacity(this.fleet),
-      instanceCount: this.instanceController.instanceCount(),
+      meanCapacity: meanCapacity(this.parts.fleet),
+      instanceCount: this.parts.instanceController.instanceCount(),
     };
-    this.demand.update(rules, capacity, poolUsage(this.fleet, this.state));
-    this.instanceController.tick(rules);
+    this.parts.demand.update(rules, capacity, poolUsage(this.parts.fleet, this.parts.state));
+    this.parts.instanceController.tick(rules);
     const drainingWorkerIds: string[] = [];
-    for (const session of this.fleet.all()) {
+    for (const session of this.parts.fleet.all()) {
       const { workerId } = session.worker;
-      if (session.entry.state === 'draining' || this.instanceController.isDraining(session))
+      if (session.entry.state === 'draining' || this.parts.instanceController.isDraining(session))
         drainingWorkerIds.push(workerId);
-      this.stopStuckRuns(session, nowMs);
-    }
-    evacuate(drainingWorkerIds, { state: this.state, fleet: this.fleet, nowMs });
-    this.placer.startSpeculativeCopies(rules);
-  }
-
-  private stopStuckRuns(session: WorkerSession, nowMs: number): void {
-    const { workerId } = session.worker;
-    if (!session.isReachable() || !session.isReportComplete()) return;
-    for (const [run, observed] of observedRuns(session, this.state)) {
-      if (!isStuck(run, observed, this.state, nowMs)) continue;
-      this.health.recordResult(workerId, run.task.jobId, true, nowMs);
-      this.options.counters.increment('placement.stuck');
-      this.options.logger.info(LOG_EVENTS.runReplaced, {
-        ...run.task,
-        run: run.run,
-        workerId,
-        reason: 'no progress',
-      });
-      session.stop(run.task, run.run);
-    }
-  }
-
-  /**
-   * Unix time by the workers' clocks (their median), which jumps of this machine's wall
-   * clock do not affect; the wall clock before any worker has responded.
-   */
-  private unixMs(): number {
-    this.unixOffsetMs ??= this.readUnixOffset();
-    const { clock } = this.options;
-    return this.unixOffsetMs === null ? clock.wallMs() : clock.monotonicMs() + this.unixOffsetMs;
-  }
-
-  /** Median difference between the workers' Unix time and the monotonic clock; `null` before any has responded. */
-  private readUnixOffset(): number | null {
-    const nowMs = this.options.clock.monotonicMs();
-    const offsets: number[] = [];
-    for (const session of this.fleet.all()) {
-      const reading = session.unixMs();
-      if (reading !== null) offsets.push(reading - nowMs);
+      stopStuckRuns(session, { ...this.options, state: this.parts.state, health: this.parts.health, nowMs });
     }
-    offsets.sort((a, b) => a - b);
-    return offsets[Math.floor(offsets.length / 2)] ?? null;
+    evacuate(drainingWorkerIds, { state: this.parts.state, fleet: this.parts.fleet, nowMs });
+    this.parts.placer.startSpeculativeCopies(rules);
   }
 }
--- a/placement/validity_window.ts
+++ b/placement/validity_window.ts
@@ -7,6 +7,14 @@
   readonly wallMs: number;
 }
 
+/**
+ * The current moment.
+ *
+ * @example
+ * ```ts
+ * const sentAt = momentOf(clock);
+ * ```
+ */
 export function momentOf(clock: Clock): Moment {
   return { monotonicMs: clock.monotonicMs(), wallMs: clock.wallMs() };
 }
--- a/scheduling/job_rows.ts
+++ b/scheduling/job_rows.ts
@@ -151,7 +151,14 @@
   return [key, { isDone: isDone === 1, failures, lastFailedRun, lastRun, checkpoint, runs: records }];
 }
 
-/** Decodes a row of JSON. Throws {@link RowFormatError}. */
+/**
+ * Decodes a row of JSON. Throws {@link RowFormatError}.
+ *
+ * @example
+ * ```ts
+ * const lease = decodeJsonRow(leaseRowSchema, row.value);
+ * ```
+ */
 export function decodeJsonRow<T>(schema: z.ZodType<T>, value: string): T {
   const parsed = schema.safeParse(parseJson(value));
   if (!parsed.success) throw new RowFormatError(`The row cannot be decoded: ${parsed.error.message}`);
--- a/store/store_snapshot.ts
+++ b/store/store_snapshot.ts
@@ -60,11 +60,26 @@
   );
 }
 
+/**
+ * Encodes rows as the text of a file.
+ *
+ * @example
+ * ```ts
+ * await writeFile(path, encodeSnapshot(rows));
+ * ```
+ */
 export function encodeSnapshot(rows: readonly SnapshotRow[]): string {
   return `${JSON.stringify({ format: FORMAT, version: FORMAT_VERSION, checksum: checksumOf(rows), rows })}\n`;
 }
 
-/** Throws {@link SnapshotError} for a file that is damaged, of a later version, or no snapshot. */
+/**
+ * Throws {@link SnapshotError} for a file that is damaged, of a later version, or no snapshot.
+ *
+ * @example
+ * ```ts
+ * const rows = decodeSnapshot(await readFile(path, 'utf8'));
+ * ```
+ */
 export function decodeSnapshot(text: string): readonly SnapshotRow[] {
   const { version, checksum, rows } = parseFile(text);
   if (version > FORMAT_VERSION)
@@ -79,6 +94,11 @@
 /**
  * Writes the rows into a store whose partitions are empty; `last` is written after all
  * others. Returns the number of rows. Throws {@link SnapshotError} if a row exists already.
+ *
+ * @example
+ * ```ts
+ * await restoreSnapshot(store, rows, { partitions, last: LEASE_ADDRESS });
+ * ```
  */
 export async function restoreSnapshot(
   store: RowStore,
