--- a/cli/command_line.ts
+++ b/cli/command_line.ts
@@ -22,6 +22,7 @@
   | { readonly kind: 'check_settings'; readonly file: string }
   | { readonly kind: 'print_settings'; readonly file: string }
   | { readonly kind: 'explain'; readonly requestId: string; readonly files: readonly string[] }
+  | { readonly kind: 'report'; readonly files: readonly string[]; readonly output: string }
   | { readonly kind: 'store_status'; readonly storeAddress: string }
   | { readonly kind: 'save_snapshot'; readonly storeAddress: string; readonly file: string }
   | { readonly kind: 'restore_snapshot'; readonly storeAddress: string; readonly file: string };
@@ -56,6 +57,7 @@
   snapshot restore FILE
                       with --store: copy them back into an empty store
   explain ID LOG...   print the decisions on a request from log files, in order
+  report LOG...       write a page with plots of a day from the logs of all processes
 
 Flags
   --dry-run           with apply: show what would change and change nothing
@@ -63,6 +65,7 @@
   --url URL           operators API of an entry instance; may be repeated
                       (ENDIVESTAND_URL, separated by commas)
   --store HOST:PORT   with status or snapshot: the platform's store
+  --output FILE       with report: the page to write (report.html)
   --operator-token T  token of the operators API (ENDIVESTAND_OPERATOR_TOKEN)
   --help              print this text
 
@@ -88,7 +91,8 @@
   const token = values['operator-token'] ?? environment[environmentVariableName('operator-token')] ?? '';
   const json = values.json ?? false;
   if (values.help === true) return { command: { kind: 'help' }, urls, token, json };
-  const command = parseCommand(positionals, { dryRun: values['dry-run'] ?? false, store: values.store });
+  const { store, output, 'dry-run': dryRun = false } = values;
+  const command = parseCommand(positionals, { dryRun, store, output });
   if (isLocalCommand(command)) return { command, urls, token, json };
   if (urls.length === 0) throw new UsageError('Specify an entry instance with --url or ENDIVESTAND_URL.');
   if (token === '')
@@ -107,6 +111,7 @@
         url: { type: 'string', multiple: true },
         'operator-token': { type: 'string' },
         store: { type: 'string' },
+        output: { type: 'string' },
         help: { type: 'boolean' },
       },
     });
@@ -118,10 +123,14 @@
 interface CommandFlags {
   readonly dryRun: boolean;
   readonly store: string | undefined;
+  readonly output: string | undefined;
 }
 
-function parseCommand(positionals: readonly string[], { dryRun, store }: CommandFlags): Command {
+function parseCommand(positionals: readonly string[], { dryRun, store, output }: CommandFlags): Command {
   const [first, second, third] = positionals;
+  if (first === 'report' && second !== undefined)
+    return { kind: 'report', files: positionals.slice(1), output: output ?? 'report.html' };
+  if (output !== undefined) throw new UsageError('--output can be used only with report.');
   if (store !== undefined) {
     if (first === 'status' && positionals.length === 1) return { kind: 'store_status', storeAddress: store };
     const snapshot = parseSnapshotCommand(positionals, store);
@@ -165,6 +174,7 @@
   'check_settings',
   'print_settings',
   'explain',
+  'report',
   'store_status',
   'save_snapshot',
   'restore_snapshot',
--- a/cli/explain.ts
+++ b/cli/explain.ts
@@ -1,5 +1,6 @@
 /** Finds the log events of one request in the log files of the system's processes. */
 import { LOG_EVENTS } from '../telemetry/events_catalogue';
+import { parseLogLine, type LogLine } from './log_line';
 import { renderTable } from './render';
 
 /** Events about the placement leader, the rules and the store, which are shown with the events of any request. */
@@ -20,17 +21,8 @@
  */
 const CONTEXT_MARGIN_MS = 3_000;
 
-/** Fields that every line has and that carry no information about the request. */
-const COMMON_FIELDS: ReadonlySet<string> = new Set(['level', 'time', 'pid', 'hostname', 'eventId', 'msg']);
-
-/** One line of a log. */
-export interface LogLine {
-  /** Unix time, in milliseconds, by the clock of the process. */
-  readonly timeMs: number;
-  readonly process: string;
-  readonly eventId: number;
-  readonly event: string;
-  readonly fields: Readonly<Record<string, unknown>>;
+/** One line that is shown. */
+export interface ExplainedLine extends LogLine {
   /** Whether the line contains the request id; the other lines are context events. */
   readonly namesRequest: boolean;
 }
@@ -38,7 +30,7 @@
 export interface Explanation {
   readonly requestId: string;
   /** The request's events and the context events near them, in chronological order. */
-  readonly lines: readonly LogLine[];
+  readonly lines: readonly ExplainedLine[];
   /** Number of lines that are not log lines or are truncated. */
   readonly unreadable: number;
 }
@@ -53,16 +45,16 @@
  * ```
  */
 export function explainRequest(requestId: string, logLines: Iterable<string>): Explanation {
-  const requestLines: LogLine[] = [];
-  const contextLines: LogLine[] = [];
+  const requestLines: ExplainedLine[] = [];
+  const contextLines: ExplainedLine[] = [];
   let unreadable = 0;
   for (const text of logLines) {
     const namesRequest = text.includes(requestId);
     if (text.trim() === '') continue;
-    const line = parseLogLine(text, namesRequest);
+    const line = parseLogLine(text);
     if (line === null) unreadable += 1;
-    else if (namesRequest) requestLines.push(line);
-    else if (CONTEXT_EVENTS.has(line.eventId)) contextLines.push(line);
+    else if (namesRequest) requestLines.push({ ...line, namesRequest });
+    else if (CONTEXT_EVENTS.has(line.eventId)) contextLines.push({ ...line, namesRequest });
   }
   const times = requestLines.map(({ timeMs }) => timeMs);
   const fromMs = Math.min(...times) - CONTEXT_MARGIN_MS;
@@ -89,37 +81,9 @@
   return `${renderTable(rows)}${note}`;
 }
 
-function renderDetails({ fields }: LogLine, requestId: string): string {
+function renderDetails({ fields }: ExplainedLine, requestId: string): string {
   return Object.entries(fields)
     .filter(([, value]) => value !== requestId && value !== null)
     .map(([name, value]) => `${name}=${typeof value === 'string' ? value : JSON.stringify(value)}`)
     .join(' ');
 }
-
-function parseLogLine(text: string, namesRequest: boolean): LogLine | null {
-  const start = text.indexOf('{');
-  if (start < 0) return null;
-  const entry = parseObject(text.slice(start));
-  if (entry === null) return null;
-  const { time, hostname, eventId, msg } = entry;
-  if (typeof time !== 'number' || typeof eventId !== 'number') return null;
-  const fields = Object.fromEntries(Object.entries(entry).filter(([name]) => !COMMON_FIELDS.has(name)));
-  return {
-    timeMs: time,
-    process: typeof hostname === 'string' ? hostname : '-',
-    eventId,
-    event: typeof msg === 'string' ? msg : '',
-    fields,
-    namesRequest,
-  };
-}
-
-function parseObject(json: string): Readonly<Record<string, unknown>> | null {
-  try {
-    const value = JSON.parse(json) as unknown;
-    return typeof value === 'object' && value !== null ? (value as Readonly<Record<string, unknown>>) : null;
-  } catch {
-    // A line that was being written when its process ended is truncated; the caller counts it.
-    return null;
-  }
-}
--- a/cli/run_local_command.ts
+++ b/cli/run_local_command.ts
@@ -5,6 +5,7 @@
 import type { LocalCommand } from './command_line';
 import { explainRequest, renderExplanation } from './explain';
 import { checkSettings, printSettings } from './node_settings_report';
+import { writeReport } from './report_command';
 import { loadSnapshot, saveSnapshot } from './snapshot_command';
 import { readStoreStatus, renderStoreStatus } from './store_status';
 
@@ -30,6 +31,7 @@
     .with({ kind: 'check_settings' }, async ({ file }) => checkSettings(await readFile(file)))
     .with({ kind: 'print_settings' }, async ({ file }) => printSettings(await readFile(file), json))
     .with({ kind: 'explain' }, ({ requestId, files }) => explain(requestId, files, options))
+    .with({ kind: 'report' }, ({ files, output }) => writeReport(files, output))
     .with({ kind: 'store_status' }, async ({ storeAddress }) => {
       const store = new HttpRowStore(storeAddress);
       const status = await readStoreStatus({ store, rowCodec: new WirePlatformRowCodec() });
--- a/cli/run_local_command_test.ts
+++ b/cli/run_local_command_test.ts
@@ -14,6 +14,7 @@
   [['print-settings', 'f'], { kind: 'print_settings', file: 'f' }],
   [['explain', 'id', 'a.log', 'b.log'], { kind: 'explain', requestId: 'id', files: ['a.log', 'b.log'] }],
   [['status', '--store', 'h:1'], { kind: 'store_status', storeAddress: 'h:1' }],
+  [['report', 'a.log', 'b.log'], { kind: 'report', files: ['a.log', 'b.log'], output: 'report.html' }],
   [['snapshot', 'save', 'f', '--store', 'h:1'], { kind: 'save_snapshot', storeAddress: 'h:1', file: 'f' }],
 ])('%j needs neither an entry instance nor a token', (args, command) => {
   expect(parseCommandLine(args, {}).command).toEqual(command);
