--- a/placement/burst_memory_test.ts
+++ b/placement/burst_memory_test.ts
@@ -1,4 +1,4 @@
-/** Guards against a forecast that starts anew with each leader. */
+/** Guards against a forecast that forgets the bursts of earlier leaders. */
 import { VirtualClock } from '../kernel/virtual_clock';
 import { BurstForecast } from '../scheduling/burst_forecast';
 import { MemoryRows, MemoryRowStore } from '../store/memory_row_store';
--- a/placement/plan_request.ts
+++ b/placement/plan_request.ts
@@ -12,7 +12,7 @@
 /** A step waits this long for the rack of its data before it may run on another one, in milliseconds. */
 const REMOTE_WAIT_MS = 400;
 
-/** Amount that stands for "no limit" in a resource. */
+/** Amount of a resource that no team reaches, where there is no limit. */
 const UNLIMITED = Number.MAX_SAFE_INTEGER;
 
 /** A waiting step with the data that is needed to place it. */
