Make way only when a successor may command the same instances

Cause: found by reading the diff: a successor waits one second before its first command to an instance, which is enough after a lease that has expired, not after one that was released.

Change: before it releases, such a leader sends no further commands and waits until the length of a lease has passed since its last one.

--- a/placement/_placement_harness.ts
+++ b/placement/_placement_harness.ts
@@ -119,7 +119,7 @@
   }
 }
 
-const LEADER_LEASE_MS = 3_000;
+export const LEADER_LEASE_MS = 3_000;
 
 /** Minimum time for which the states of ended jobs can be read, in milliseconds. */
 export const RETENTION_MS = 20_000;
--- a/placement/instance_controller.ts
+++ b/placement/instance_controller.ts
@@ -70,6 +70,9 @@
   private readonly waveLoggedAtMs = new Map<number, number>();
   private readonly retryAtMs = new Map<string, number>();
   private readonly commandsInFlight = new Set<string>();
+  /** When the latest command was sent or answered, on the monotonic clock. */
+  private lastCommandAtMs = -Infinity;
+  private areCommandsHeld = false;
   /** Number of instances that are up and stay in their pool, by pool. */
   private readonly presentByPool = new Map<string, number>();
   /** Number of instances that are moving to a pool, by pool. */
@@ -120,12 +123,18 @@
     return this.dueForWave.has(instanceId);
   }
 
+  /** Sends no further commands, and returns when the latest one was sent or answered, on the monotonic clock. */
+  holdCommands(): number {
+    this.areCommandsHeld = true;
+    return this.commandsInFlight.size > 0 ? this.options.clock.monotonicMs() : this.lastCommandAtMs;
+  }
+
   /** Advances the waves and resizes the pools; called several times a second. */
   tick(rules: FleetRules): void {
     void this.directory.refresh();
     if (!this.directory.isLoaded() || !this.options.writer.isValid()) return;
     this.retireStoppedWorkers();
-    if (this.options.clock.monotonicMs() < this.options.commandsFromMs) return;
+    if (this.areCommandsHeld || this.options.clock.monotonicMs() < this.options.commandsFromMs) return;
     this.drainingForWave.clear();
     this.dueForWave.clear();
     this.countInstances();
@@ -343,6 +352,7 @@
     const { clock, writer, onFenced } = this.options;
     if (this.commandsInFlight.has(instanceId) || !writer.isValid()) return null;
     this.commandsInFlight.add(instanceId);
+    this.lastCommandAtMs = clock.monotonicMs();
     this.directory.recordCommand(instanceId, kind, poolId);
     try {
       const result = await send();
@@ -360,6 +370,7 @@
       return null;
     } finally {
       this.commandsInFlight.delete(instanceId);
+      this.lastCommandAtMs = clock.monotonicMs();
     }
   }
 
--- a/placement/leader_succession.ts
+++ b/placement/leader_succession.ts
@@ -24,7 +24,7 @@
   readonly client: Pick<RelayClient, 'findAcceptingPeer' | 'callPeer'>;
   /** Addresses of processes on far larger machines, the largest first. */
   readonly largerPeerAddresses: () => readonly string[];
-  readonly leader: Pick<PlacementLeader, 'hasStopped' | 'resign' | 'release'>;
+  readonly leader: Pick<PlacementLeader, 'hasStopped' | 'holdInstanceCommands' | 'resign' | 'release'>;
   readonly epoch: number;
   readonly logger: Logger;
 }
@@ -75,6 +75,9 @@
       );
       const successor = responses.find((address) => address !== null);
       if (successor === undefined || leader.hasStopped() || this.hasBegunHandover()) continue;
+      for (let waitMs = leader.holdInstanceCommands(); waitMs > 0; waitMs = leader.holdInstanceCommands())
+        await clock.delay(waitMs);
+      if (leader.hasStopped() || this.hasBegunHandover()) continue;
       this.isHandingOver = true;
       logger.info(LOG_EVENTS.leaderMadeWay, { epoch, successor });
       await leader.release();
--- a/placement/placement_leader.ts
+++ b/placement/placement_leader.ts
@@ -99,6 +99,17 @@
     return this.isLoaded && !this.isStopped && this.parts.writer.isValid();
   }
 
+  /**
+   * Sends no further commands to instances, and returns the time for which the lease must
+   * not be released yet, in milliseconds: a successor waits less for a lease that was
+   * released than for one that has expired, and the platform requires a minimum time
+   * between commands of two leaders.
+   */
+  holdInstanceCommands(): number {
+    const lastCommandAtMs = this.parts.instanceController.holdCommands();
+    return Math.max(0, lastCommandAtMs + this.options.leaseMs - this.options.clock.monotonicMs());
+  }
+
   /** Releases the lease. */
   async release(): Promise<void> {
     this.stop();
