Log why runs count as lost and which unregistered workers a new leader awaits

An on-call engineer could not tell from the logs whether a task without a run waits for a lease, lost its worker, or was never placed.

--- a/placement/instance_controller.ts
+++ b/placement/instance_controller.ts
@@ -70,6 +70,8 @@
   private readonly waveLoggedAtMs = new Map<number, number>();
   private readonly retryAtMs = new Map<string, number>();
   private readonly commandsInFlight = new Set<string>();
+  /** Since when each worker whose interruption is logged has been unreachable. */
+  private readonly loggedUnreachableSinceMs = new WeakMap<WorkerSession, number>();
   /** When the latest command was sent or answered, on the monotonic clock. */
   private lastCommandAtMs = -Infinity;
   private areCommandsHeld = false;
@@ -161,12 +163,27 @@
       if (unreachableSinceMs === null) continue;
       this.directory.readSoon();
       const { instanceId, workerId } = session.entry;
+      this.logUnreachable(session);
       if (!this.directory.hasWorkerStopped(instanceId, workerId, unreachableSinceMs)) continue;
       this.options.counters.increment('workers.gone');
       this.options.fleet.retire(session);
     }
   }
 
+  /** Logs once for each interruption of the contact with a worker that has runs. */
+  private logUnreachable(session: WorkerSession): void {
+    const { instanceId, workerId } = session.entry;
+    const unreachableSinceMs = session.unreachableSinceMs();
+    if (unreachableSinceMs === null || session.runCount() === 0) return;
+    if (this.loggedUnreachableSinceMs.get(session) === unreachableSinceMs) return;
+    this.loggedUnreachableSinceMs.set(session, unreachableSinceMs);
+    this.options.logger.info(LOG_EVENTS.workerUnreachable, {
+      workerId,
+      count: session.runCount(),
+      instanceState: this.directory.get(instanceId)?.state ?? null,
+    });
+  }
+
   private advanceWave(wave: MaintenanceWave, rules: FleetRules): void {
     const progress = this.waveProgress.progressOf(wave);
     if (progress === null || progress.isCompleted) return;
--- a/placement/leader_parts.ts
+++ b/placement/leader_parts.ts
@@ -22,6 +22,7 @@
 import { JobIntake } from './job_intake';
 import type { AcquiredLease } from './leader_election';
 import { LeaderReporter } from './leader_reporter';
+import { LostRunLog } from './lost_run_log';
 import { PlacementState } from './placement_state';
 import { PoolDemandTracker } from './pool_demand';
 import { RunResultHandler } from './run_result_handler';
@@ -91,6 +92,7 @@
   readonly writer: FencedWriter;
   readonly state: PlacementState;
   readonly fleet: WorkerFleet;
+  readonly lostRunLog: LostRunLog;
   readonly health: WorkerHealth;
   readonly resultHandler: RunResultHandler;
   readonly limiter: StartLimiter;
@@ -127,7 +129,9 @@
     },
   });
   const state = new PlacementState({ clock, writer, counters, rules });
+  const lostRunLog = new LostRunLog(options);
   const fleet = new WorkerFleet({
+    lostRunLog,
     clock,
     gateway,
     listener: hooks.sessionListener,
@@ -209,6 +213,7 @@
     writer,
     state,
     fleet,
+    lostRunLog,
     health,
     resultHandler,
     limiter,
--- a/placement/placement_leader.ts
+++ b/placement/placement_leader.ts
@@ -174,6 +174,10 @@
     this.onRunLost(session, run);
   }
 
+  override onLeaseExpired({ worker: { workerId } }: WorkerSession, runs: readonly SessionRun[]): void {
+    this.parts.lostRunLog.record(workerId, 'lease expired', runs);
+  }
+
   override onRunLost(session: WorkerSession, { task, run }: SessionRun): void {
     this.handleLostRun({ task, run, workerId: session.worker.workerId, outcome: 'lost', checkpoint: '' });
   }
--- a/placement/session_listener.ts
+++ b/placement/session_listener.ts
@@ -20,6 +20,8 @@
   abstract onRunsEnded(session: WorkerSession, endedRuns: readonly ObservedEndedRun[]): void;
   /** A start was rejected; the run does not exist. */
   abstract onStartRejected(session: WorkerSession, run: SessionRun, reason: Rejection | 'not_reached'): void;
+  /** All runs of the worker count as ended because its lease has certainly expired; reported before each of them. */
+  abstract onLeaseExpired(session: WorkerSession, runs: readonly SessionRun[]): void;
   /** The run no longer exists, and its outcome will never be known. */
   abstract onRunLost(session: WorkerSession, run: SessionRun): void;
   abstract onProgress(session: WorkerSession, activeRuns: readonly ActiveRun[]): void;
--- a/placement/worker_fleet.ts
+++ b/placement/worker_fleet.ts
@@ -3,6 +3,7 @@
 import type { RunResult, TaskRun } from '../scheduling/job_record';
 import type { WorkerEntry } from '../scheduling/worker_entry';
 import type { WorkerGateway } from '../scheduling/worker_gateway';
+import type { LostRunLog, LostRunReason } from './lost_run_log';
 import { WorkerLease } from './worker_lease';
 import { SessionListener } from './session_listener';
 import { WorkerSession } from './worker_session';
@@ -27,6 +28,7 @@
   readonly recordedRuns: (workerId: string) => readonly TaskRun[];
   /** Called when a run no longer exists and its outcome will never be known. */
   readonly onRunLost: (result: RunResult) => void;
+  readonly lostRunLog: LostRunLog;
 }
 
 export class WorkerFleet {
@@ -81,19 +83,19 @@
   }
 
   /** Closes the session of an incarnation that has been replaced and reports its runs as lost. */
-  remove(session: WorkerSession): void {
+  remove(session: WorkerSession, reason: LostRunReason = 'replaced by another incarnation'): void {
     const { workerId } = session.worker;
     if (this.sessions.get(workerId) !== session) return;
     this.deleteSession(session);
     session.close();
-    this.reportLostRuns(this.options.recordedRuns(workerId));
+    this.reportLostRuns(this.options.recordedRuns(workerId), reason);
   }
 
   /** Closes the session of an incarnation that has certainly stopped and ignores its entry from now on. */
   retire(session: WorkerSession): void {
     const ignoredUntilMs = this.options.clock.monotonicMs() + IGNORE_ENTRY_MS;
     this.retired.set(session.worker.workerId, { startedAtMs: session.entry.startedAtMs, ignoredUntilMs });
-    this.remove(session);
+    this.remove(session, 'stopped according to the platform');
   }
 
   private isRetired({ workerId, startedAtMs }: WorkerEntry): boolean {
@@ -123,8 +125,13 @@
     const lease = new WorkerLease({ maxLeaseMs, nowMs });
     const orphans = runs.filter(({ workerId }) => !this.sessions.has(workerId));
     if (orphans.length === 0) return;
-    clock.schedule(lease.expiredAtMs() - nowMs, () => {
-      this.reportLostRuns(orphans.filter(({ workerId }) => !this.sessions.has(workerId)));
+    const waitMs = lease.expiredAtMs() - nowMs;
+    this.options.lostRunLog.recordWaiting(orphans, waitMs);
+    clock.schedule(waitMs, () => {
+      this.reportLostRuns(
+        orphans.filter(({ workerId }) => !this.sessions.has(workerId)),
+        'lease expired since the takeover',
+      );
     });
   }
 
@@ -170,7 +177,10 @@
     });
     this.addSession(session);
     // The runs of earlier incarnations under this id no longer exist.
-    this.reportLostRuns(runs.filter((run) => !isOfIncarnation(run)));
+    this.reportLostRuns(
+      runs.filter((run) => !isOfIncarnation(run)),
+      'replaced by another incarnation',
+    );
     void session.run();
   }
 
@@ -180,7 +190,13 @@
     this.open(entry);
   }
 
-  private reportLostRuns(runs: readonly TaskRun[]): void {
+  private reportLostRuns(runs: readonly TaskRun[], reason: LostRunReason): void {
+    for (const workerId of new Set(runs.map((run) => run.workerId)))
+      this.options.lostRunLog.record(
+        workerId,
+        reason,
+        runs.filter((run) => run.workerId === workerId),
+      );
     for (const { task, run, workerId } of runs) {
       this.options.onRunLost({ task, run, workerId, outcome: 'lost', checkpoint: '' });
     }
--- a/placement/worker_session.ts
+++ b/placement/worker_session.ts
@@ -477,7 +477,8 @@
 
   /** Reports all runs as lost once the lease has certainly expired, after which nothing runs on the worker. */
   private loseExpiredRuns(): void {
-    if (this.nowMs() < this.lease.expiredAtMs()) return;
+    if (this.nowMs() < this.lease.expiredAtMs() || this.runs.size === 0) return;
+    this.options.listener.onLeaseExpired(this, this.activeRuns());
     for (const [key, run] of this.runs) {
       this.removeRun(key);
       this.options.listener.onRunLost(this, run);
