Store when the lease of an unreachable worker ends, so that successors do not wait anew

Callers saw a long-running task without a run for 36 s after its worker had left, although there was room (LOST).

Cause: runs on a worker that cannot be reached count as running until its longest lease has certainly ended, and each leader counted that time (10.35 s) from its own start. Leaders that follow each other faster never reach the end.

Change: the leader stores the end of each lease that it has stopped renewing, on the store's clock, which all processes see. A successor waits only for the rest. UnrenewedLeases looks at all recorded runs several times a second instead of once at the start, so that none can be left out.

--- a/placement/burst_memory_test.ts
+++ b/placement/burst_memory_test.ts
@@ -1,4 +1,5 @@
 /** Guards against a forecast that forgets the bursts of earlier leaders. */
+import { StoreClock } from '../store/store_clock';
 import { VirtualClock } from '../kernel/virtual_clock';
 import { BurstForecast } from '../scheduling/burst_forecast';
 import { MemoryRows, MemoryRowStore } from '../store/memory_row_store';
@@ -23,7 +24,14 @@
   });
   const lease = await election.acquire();
   if (lease === null) throw new Error('The lease was not acquired.');
-  const writer = new FencedWriter({ store, clock, lease, leaseMs: 2_000, onLost: () => undefined });
+  const writer = new FencedWriter({
+    store,
+    clock,
+    lease,
+    leaseMs: 2_000,
+    storeClock: new StoreClock(),
+    onLost: () => undefined,
+  });
   const forecast = new BurstForecast();
   return { keeper: new BurstMemoryKeeper({ store, writer, forecast }), forecast };
 }
--- a/placement/fenced_writer.ts
+++ b/placement/fenced_writer.ts
@@ -9,6 +9,7 @@
   type RowStore,
   type RowWrite,
 } from '../store/row_store';
+import type { StoreClock } from '../store/store_clock';
 import type { AcquiredLease } from './leader_election';
 import { decodeLease, encodeLease, LEASE_ADDRESS, type LeaseRow } from './lease_row';
 import { momentOf, ValidityWindow } from './validity_window';
@@ -64,6 +65,8 @@
   readonly clock: Clock;
   readonly lease: AcquiredLease;
   readonly leaseMs: number;
+  /** Receives the store's clock from each transaction. */
+  readonly storeClock: StoreClock;
   /** Called once when another process has acquired the lease. */
   readonly onLost: () => void;
 }
@@ -229,6 +232,7 @@
       if (result.kind === 'conflict') return this.reconcile(result.rows[0]);
       this.leaseVersion = result.version;
       this.lastCommitAtMs = this.options.clock.monotonicMs();
+      this.observeStoreClock(result.storeMs, sentAt.monotonicMs);
       this.failedAttempts = 0;
       this.validity.renew(sentAt);
       for (const { staged } of batch) this.markCommitted(staged);
@@ -240,6 +244,11 @@
     }
   }
 
+  private observeStoreClock(storeMs: number | null, sentAtMs: number): void {
+    const { storeClock, clock } = this.options;
+    if (storeMs !== null) storeClock.observe({ storeMs, sentAtMs, receivedAtMs: clock.monotonicMs() });
+  }
+
   /**
    * Handles a conflict: either an earlier attempt with an unknown outcome took effect,
    * or another process holds the lease.
--- a/placement/fenced_writer_test.ts
+++ b/placement/fenced_writer_test.ts
@@ -1,4 +1,5 @@
 /** Guards against values that are encoded once per change, and actions that run before their change is stored. */
+import { StoreClock } from '../store/store_clock';
 import { VirtualClock } from '../kernel/virtual_clock';
 import { MemoryRows, MemoryRowStore, NO_ROW_STORE_FAULTS } from '../store/memory_row_store';
 import { FencedWriter } from './fenced_writer';
@@ -19,7 +20,14 @@
   });
   const lease = await election.acquire();
   if (lease === null) throw new Error('The lease was not acquired.');
-  const writer = new FencedWriter({ store, clock, lease, leaseMs: 2_000, onLost: () => undefined });
+  const writer = new FencedWriter({
+    store,
+    clock,
+    lease,
+    leaseMs: 2_000,
+    storeClock: new StoreClock(),
+    onLost: () => undefined,
+  });
   return { clock, store, writer };
 }
 
--- a/placement/leader_parts.ts
+++ b/placement/leader_parts.ts
@@ -11,6 +11,7 @@
 import { AdaptiveStartLimiter, type StartLimiter } from '../scheduling/start_limiter';
 import type { WorkerGateway } from '../scheduling/worker_gateway';
 import type { RowChange, RowStore } from '../store/row_store';
+import { StoreClock } from '../store/store_clock';
 import { TableFollower } from '../store/table_follower';
 import type { Counters } from '../telemetry/counters';
 import type { Logger } from '../telemetry/logger';
@@ -22,12 +23,14 @@
 import { JobIntake } from './job_intake';
 import type { AcquiredLease } from './leader_election';
 import { LeaderReporter } from './leader_reporter';
+import { LeaseEndKeeper } from './lease_end_keeper';
 import { LostRunLog } from './lost_run_log';
 import { PlacementState } from './placement_state';
 import { PoolDemandTracker } from './pool_demand';
 import { RunResultHandler } from './run_result_handler';
 import type { SessionListener } from './session_listener';
 import { TaskPlacer } from './task_placer';
+import { UnrenewedLeases } from './unrenewed_leases';
 import { WorkerFleet } from './worker_fleet';
 import { WorkerHealth } from './worker_health';
 import { WorkerTime } from './worker_time';
@@ -93,6 +96,8 @@
   readonly state: PlacementState;
   readonly fleet: WorkerFleet;
   readonly lostRunLog: LostRunLog;
+  readonly leaseEnds: LeaseEndKeeper;
+  readonly unrenewedLeases: UnrenewedLeases;
   readonly health: WorkerHealth;
   readonly resultHandler: RunResultHandler;
   readonly limiter: StartLimiter;
@@ -119,9 +124,11 @@
 export function createLeaderParts(options: PlacementLeaderOptions, hooks: LeaderHooks): LeaderParts {
   const { store, clock, lease, leaseMs, gateway, counters, maxWorkerLeaseMs, rules } = options;
   const { onRunLost, onPlanNeeded, onPoolChanged, onWorkerChanges } = hooks;
+  const storeClock = new StoreClock();
   const writer = new FencedWriter({
     store,
     clock,
+    storeClock,
     lease,
     leaseMs,
     onLost: () => {
@@ -130,8 +137,10 @@
   });
   const state = new PlacementState({ clock, writer, counters, rules });
   const lostRunLog = new LostRunLog(options);
+  const leaseEnds = new LeaseEndKeeper({ store, clock, storeClock, writer });
   const fleet = new WorkerFleet({
     lostRunLog,
+    leaseEnds,
     clock,
     gateway,
     listener: hooks.sessionListener,
@@ -141,6 +150,15 @@
     recordedRuns: (workerId) => state.runsOn(workerId),
     onRunLost,
   });
+  const unrenewedLeases = new UnrenewedLeases({
+    clock,
+    state,
+    fleet,
+    leaseEnds,
+    lostRunLog,
+    maxLeaseMs: maxWorkerLeaseMs,
+    onRunLost,
+  });
   const health = new WorkerHealth();
   const resultHandler = new RunResultHandler({ ...options, state, fleet, health });
   const limiter = new AdaptiveStartLimiter(options.processors);
@@ -214,6 +232,8 @@
     state,
     fleet,
     lostRunLog,
+    leaseEnds,
+    unrenewedLeases,
     health,
     resultHandler,
     limiter,
--- a/placement/placement_leader.ts
+++ b/placement/placement_leader.ts
@@ -71,7 +71,8 @@
    * errors of {@link RowStore.read}.
    */
   async start(): Promise<void> {
-    const { jobFollower, workerFollower, instanceController, burstMemory, intake, state, fleet } = this.parts;
+    const { jobFollower, workerFollower, instanceController, burstMemory, intake, state, leaseEnds } =
+      this.parts;
     // Only the leader writes progress, so that it does not change between these reads.
     const [progress, handleJobs, handleWorkers] = await Promise.all([
       this.options.store.read({ table: PROGRESS_TABLE, partition: PLACEMENT_PARTITION }),
@@ -79,6 +80,7 @@
       workerFollower.read(),
       instanceController.load(),
       burstMemory.load(),
+      leaseEnds.load(),
     ]);
     intake.inheritProgress(progress.rows);
     handleJobs();
@@ -86,7 +88,6 @@
     if (this.hasStopped()) return;
     this.isLoaded = true;
     intake.finishLoading();
-    fleet.expireOrphans([...state.jobs.openJobs()].flatMap(({ record }) => record.runs()));
     for (const job of state.jobs.openJobs())
       if (isEnded(job.record.state)) this.parts.resultHandler.stopRuns(job);
     void jobFollower.run();
@@ -295,6 +296,7 @@
     if (this.parts.writer.isStoreUnreachable()) this.options.onStoreUnreachable();
     if (!this.parts.writer.isValid()) this.parts.writer.renewSoon();
     this.parts.fleet.closeIdleSessions();
+    this.parts.unrenewedLeases.tick();
     this.parts.workerTime.refresh();
     this.parts.reporter.tick();
     if (this.parts.writer.isValid()) void this.parts.sweep.tick();
--- a/placement/placement_state.ts
+++ b/placement/placement_state.ts
@@ -95,6 +95,11 @@
     });
   }
 
+  /** Workers for which at least one run is recorded. */
+  workerIdsWithRuns(): readonly string[] {
+    return [...this.runsByWorker].flatMap(([workerId, runs]) => (runs.size > 0 ? [workerId] : []));
+  }
+
   runsOn(workerId: string): readonly RecordedRun[] {
     return [...(this.runsByWorker.get(workerId)?.values() ?? [])];
   }
--- a/placement/worker_fleet.ts
+++ b/placement/worker_fleet.ts
@@ -1,10 +1,10 @@
-/** Sessions with all registered workers, and the expiry of runs on workers that are not registered. */
+/** Sessions with all registered workers. */
 import type { Clock } from '../kernel/clock';
 import type { RunResult, TaskRun } from '../scheduling/job_record';
 import type { WorkerEntry } from '../scheduling/worker_entry';
 import type { WorkerGateway } from '../scheduling/worker_gateway';
+import type { LeaseEndKeeper } from './lease_end_keeper';
 import type { LostRunLog, LostRunReason } from './lost_run_log';
-import { WorkerLease } from './worker_lease';
 import { SessionListener } from './session_listener';
 import { WorkerSession } from './worker_session';
 
@@ -29,6 +29,7 @@
   /** Called when a run no longer exists and its outcome will never be known. */
   readonly onRunLost: (result: RunResult) => void;
   readonly lostRunLog: LostRunLog;
+  readonly leaseEnds: LeaseEndKeeper;
 }
 
 export class WorkerFleet {
@@ -118,23 +119,6 @@
     }
   }
 
-  /** Reports runs as lost whose worker is not registered, once its lease has certainly expired. */
-  expireOrphans(runs: readonly TaskRun[]): void {
-    const { clock, maxLeaseMs } = this.options;
-    const nowMs = clock.monotonicMs();
-    const lease = new WorkerLease({ maxLeaseMs, nowMs });
-    const orphans = runs.filter(({ workerId }) => !this.sessions.has(workerId));
-    if (orphans.length === 0) return;
-    const waitMs = lease.expiredAtMs() - nowMs;
-    this.options.lostRunLog.recordWaiting(orphans, waitMs);
-    clock.schedule(waitMs, () => {
-      this.reportLostRuns(
-        orphans.filter(({ workerId }) => !this.sessions.has(workerId)),
-        'lease expired since the takeover',
-      );
-    });
-  }
-
   close(): void {
     for (const session of this.sessions.values()) session.close();
     this.sessions.clear();
@@ -161,8 +145,9 @@
   }
 
   private open(entry: WorkerEntry): void {
-    const { clock, gateway, listener, fencingToken, maxLeaseMs, mayAct } = this.options;
-    const runs = this.options.recordedRuns(entry.workerId);
+    const { clock, gateway, listener, fencingToken, maxLeaseMs, mayAct, leaseEnds } = this.options;
+    const { workerId, startedAtMs } = entry;
+    const runs = this.options.recordedRuns(workerId);
     const isOfIncarnation = (run: TaskRun): boolean =>
       entry.startedAtMs === 0 || run.workerStartedAtMs === entry.startedAtMs;
     const session = new WorkerSession({
@@ -174,6 +159,11 @@
       mayAct,
       entry,
       inherited: runs.filter(isOfIncarnation),
+      knownLeaseEndMs: leaseEnds.endOf(workerId, startedAtMs),
+      mayRequestLease: () => leaseEnds.mayRequest(workerId),
+      onLeaseWithheld: (onReleased) => {
+        leaseEnds.release(workerId, onReleased);
+      },
     });
     this.addSession(session);
     // The runs of earlier incarnations under this id no longer exist.
--- a/placement/worker_lease.ts
+++ b/placement/worker_lease.ts
@@ -18,6 +18,8 @@
 export interface WorkerLeaseOptions {
   readonly maxLeaseMs: number;
   readonly nowMs: number;
+  /** When a lease that an earlier leader stopped renewing has ended; `null` if that is not known. */
+  readonly knownEndMs?: number | null;
 }
 
 /**
@@ -33,10 +35,17 @@
 export class WorkerLease {
   private clock: { readonly workerMs: number; readonly atMs: number } | null = null;
   private lastRequestAtMs: number;
+  private knownEndMs: number | null;
 
   constructor(private readonly options: WorkerLeaseOptions) {
     // An earlier leader may have renewed the lease until now.
     this.lastRequestAtMs = options.nowMs;
+    this.knownEndMs = options.knownEndMs ?? null;
+  }
+
+  /** When the lease was last requested, or this leader took over, on this process's monotonic clock. */
+  requestedAtMs(): number {
+    return this.lastRequestAtMs;
   }
 
   /** Records the worker's clock from a response that has just arrived. */
@@ -49,6 +58,7 @@
     const workerMs = this.workerClockMs(nowMs);
     if (workerMs === null) return 0;
     this.lastRequestAtMs = nowMs;
+    this.knownEndMs = null;
     return workerMs + this.options.maxLeaseMs - REQUEST_MARGIN_MS;
   }
 
@@ -65,6 +75,8 @@
    * no later request is made.
    */
   expiredAtMs(): number {
-    return this.lastRequestAtMs + this.options.maxLeaseMs / (1 - MAX_CLOCK_DRIFT) + EXPIRY_MARGIN_MS;
+    const latestEndMs =
+      this.lastRequestAtMs + this.options.maxLeaseMs / (1 - MAX_CLOCK_DRIFT) + EXPIRY_MARGIN_MS;
+    return Math.min(latestEndMs, this.knownEndMs ?? Infinity);
   }
 }
--- a/placement/worker_session.ts
+++ b/placement/worker_session.ts
@@ -55,6 +55,12 @@
   readonly mayAct: () => boolean;
   /** Runs that earlier leaders have recorded for this incarnation. */
   readonly inherited: readonly { readonly task: TaskId; readonly run: number }[];
+  /** When the lease that an earlier leader stopped renewing has ended; `null` if that is not known. */
+  readonly knownLeaseEndMs: number | null;
+  /** Whether the lease may be requested: not while its end is stored, since a successor would rely on it. */
+  readonly mayRequestLease: () => boolean;
+  /** Called while the worker responds and the lease may not be requested; `onReleased` says that it may be again. */
+  readonly onLeaseWithheld: (onReleased: () => void) => void;
 }
 
 /**
@@ -92,10 +98,10 @@
   private isPolledFrequently = false;
 
   constructor(private readonly options: WorkerSessionOptions) {
-    const { entry, inherited, clock, maxLeaseMs } = options;
+    const { entry, inherited, clock, maxLeaseMs, knownLeaseEndMs } = options;
     this.current = entry;
     this.worker = { workerId: entry.workerId, address: entry.address };
-    this.lease = new WorkerLease({ maxLeaseMs, nowMs: clock.monotonicMs() });
+    this.lease = new WorkerLease({ maxLeaseMs, nowMs: clock.monotonicMs(), knownEndMs: knownLeaseEndMs });
     for (const { task, run } of inherited) this.addRun({ task, run, phase: 'inherited' });
   }
 
@@ -135,6 +141,7 @@
       this.hasAcceptedToken &&
       !this.isClosed &&
       this.failureCount === 0 &&
+      this.options.mayRequestLease() &&
       this.current.state === 'ready' &&
       this.unrecordedRuns.size === 0
     );
@@ -154,6 +161,11 @@
     return this.failingSinceMs;
   }
 
+  /** When the lease was last requested and when it has ended, on the monotonic clock. */
+  leaseTimes(): { readonly requestedAtMs: number; readonly endsAtMs: number } {
+    return { requestedAtMs: this.lease.requestedAtMs(), endsAtMs: this.lease.expiredAtMs() };
+  }
+
   /**
    * Unix time by the worker's clocks, independent of this machine's wall clock; `null`
    * before the first response, or if the start of the incarnation is unknown.
@@ -264,6 +276,11 @@
 
   private async sendStart(request: StartRequest, run: SessionRun): Promise<void> {
     const { gateway, fencingToken, listener } = this.options;
+    // A start requests the lease as well.
+    if (!this.options.mayRequestLease()) {
+      this.handleRejection(run, 'not_reached');
+      return;
+    }
     try {
       const response = await gateway.start(this.worker, {
         ...request,
@@ -352,7 +369,7 @@
         fencingToken,
         acknowledgedEndNumber,
         // After a failed call the lease is not renewed, so that it is known when it expires at the latest.
-        leaseUntilMs: this.failureCount > 0 ? null : this.lease.requestUntilMs(sentAtMs),
+        leaseUntilMs: this.mayRenew() ? this.lease.requestUntilMs(sentAtMs) : null,
         waitMs: this.waitMs(),
       });
       if (this.hasClosed()) return true;
@@ -366,6 +383,10 @@
     }
   }
 
+  private mayRenew(): boolean {
+    return this.failureCount === 0 && this.options.mayRequestLease();
+  }
+
   private recordFailure(): void {
     this.failureCount += 1;
     this.failingSinceMs ??= this.nowMs();
@@ -374,6 +395,7 @@
 
   private waitMs(): number {
     if (!this.hasAcceptedToken || this.failureCount > 0 || this.runs.size === 0) return 0;
+    if (!this.options.mayRequestLease()) return UNRESOLVED_WAIT_MS;
     for (const run of this.runs.values()) if (isUnresolved(run)) return UNRESOLVED_WAIT_MS;
     return this.isPolledFrequently ? FREQUENT_POLL_WAIT_MS : LEASE_WAIT_MS;
   }
@@ -403,6 +425,10 @@
     if (response.ended.length < MAX_ENDED_RUNS && response.unusableEntries === 0)
       this.resolveMissingRuns(reportedKeys, sentAtMs);
     this.markReady();
+    if (!this.options.mayRequestLease())
+      this.options.onLeaseWithheld(() => {
+        this.wake();
+      });
     listener.onProgress(this, response.running);
     return true;
   }
--- a/store/memory_row_store.ts
+++ b/store/memory_row_store.ts
@@ -45,7 +45,8 @@
   private historyStartVersion = 0;
   private version = 0;
 
-  apply(transaction: RowTransaction): RowTransactionResult {
+  /** Applies a transaction; `nowMs` is what the store's clock shows. */
+  apply(transaction: RowTransaction, nowMs = performance.now()): RowTransactionResult {
     const currentRows = transaction.conditions.map((condition) => this.rows.get(addressKey(condition)));
     const conditionsHold = transaction.conditions.every(
       (condition, index) => (currentRows[index]?.version ?? 0) === condition.version,
@@ -58,15 +59,15 @@
       else this.rows.set(addressKey(row), { ...row, value });
       this.history.push({ ...row, value });
     }
-    return { kind: 'committed', version: this.version };
+    return { kind: 'committed', version: this.version, storeMs: nowMs };
   }
 
-  read({ table, partition, from, to }: RowRange): RowSnapshot {
+  read({ table, partition, from, to }: RowRange, nowMs = performance.now()): RowSnapshot {
     const rows = [...this.rows.values()]
       .filter((row) => row.table === table && row.partition === partition)
       .filter(({ key }) => (from === undefined || key >= from) && (to === undefined || key < to))
       .sort((a, b) => (a.key < b.key ? -1 : 1));
-    return { rows, version: this.version };
+    return { rows, version: this.version, storeMs: nowMs };
   }
 
   changes(table: string, version: number): RowChanges {
@@ -103,10 +104,12 @@
   override async transact(transaction: RowTransaction): Promise<RowTransactionResult> {
     await this.awaitArrival();
     if (this.faults.applyDelayMs !== null) {
-      this.clock.schedule(this.faults.applyDelayMs, () => this.rows.apply(transaction));
+      this.clock.schedule(this.faults.applyDelayMs, () =>
+        this.rows.apply(transaction, this.clock.monotonicMs()),
+      );
       throw new StoreOutcomeUnknownError('No response arrived.');
     }
-    const result = this.rows.apply(transaction);
+    const result = this.rows.apply(transaction, this.clock.monotonicMs());
     if (this.faults.loseAnswers > 0) {
       this.faults = { ...this.faults, loseAnswers: this.faults.loseAnswers - 1 };
       throw new StoreOutcomeUnknownError('The response was lost.');
@@ -116,7 +119,7 @@
 
   override async read(range: RowRange): Promise<RowSnapshot> {
     await this.awaitArrival();
-    return this.rows.read(range);
+    return this.rows.read(range, this.clock.monotonicMs());
   }
 
   override async changes(table: string, version: number, waitMs: number): Promise<RowChanges> {
--- a/store/row_store.ts
+++ b/store/row_store.ts
@@ -30,7 +30,12 @@
 
 /** A `conflict` lists the current rows of the conditions; rows that do not exist are omitted. */
 export type RowTransactionResult =
-  | { readonly kind: 'committed'; readonly version: number }
+  | {
+      readonly kind: 'committed';
+      readonly version: number;
+      /** Steady clock of the store when it responded, in milliseconds; `null` if the response lacks it. */
+      readonly storeMs: number | null;
+    }
   | { readonly kind: 'conflict'; readonly rows: readonly StoredRow[] };
 
 /** Keys of one partition from `from` (inclusive) to `to` (exclusive). */
@@ -45,6 +50,8 @@
 export interface RowSnapshot {
   readonly rows: readonly StoredRow[];
   readonly version: number;
+  /** Steady clock of the store when it responded, in milliseconds; `null` if the response lacks it. */
+  readonly storeMs: number | null;
 }
 
 /** A change of a row; `value` is `null` when the row was removed. */
