Count a worker as stopped once the instance list no longer contains its instance

Callers saw tasks of workers that were gone for good without a run until the lease had ended, 10 s later, although the platform knew.

Cause: a worker that cannot be reached counts as stopped once the list of instances shows its instance down or with another worker. An instance that is removed for good is not listed at all, which counted as no evidence.

The test 'starts again at once after its instance is removed from the instance list' failed before.

Change: two reads of a list that is not empty, both begun after the calls started to fail, have to lack the instance.

--- a/placement/instance_directory.ts
+++ b/placement/instance_directory.ts
@@ -44,11 +44,26 @@
   readonly counters: Counters;
 }
 
+/** One read of the list. */
+interface InstanceListRead {
+  /** When the read began, on the monotonic clock. */
+  readonly beganAtMs: number;
+  readonly instances: ReadonlyMap<string, InstanceStatus>;
+}
+
+const NOT_READ: InstanceListRead = { beganAtMs: -Infinity, instances: new Map() };
+
+function readOf(list: readonly InstanceStatus[], beganAtMs: number): InstanceListRead {
+  return {
+    beganAtMs,
+    instances: new Map(list.map((instance) => [instance.instanceId, instance])),
+  };
+}
+
 /** Tracks the state of each instance and the pool that it belongs to or is moving to. */
 export class InstanceDirectory {
-  private instances: ReadonlyMap<string, InstanceStatus> = new Map();
-  /** When the read that returned the list began, on the monotonic clock. */
-  private listReadAtMs = -Infinity;
+  private current: InstanceListRead = NOT_READ;
+  private previous: InstanceListRead = NOT_READ;
   private nextReadAtMs = 0;
   private isReading = false;
   private readonly pendingCommands = new Map<string, PendingCommand>();
@@ -57,29 +72,33 @@
 
   /** Brings the next read forward to {@link EARLY_READ_MS} after the previous one. */
   readSoon(): void {
-    this.nextReadAtMs = Math.min(this.nextReadAtMs, this.listReadAtMs + EARLY_READ_MS);
+    this.nextReadAtMs = Math.min(this.nextReadAtMs, this.current.beganAtMs + EARLY_READ_MS);
   }
 
   /**
-   * Whether a read that began after `unreachableSinceMs` shows that the worker no longer
-   * runs on its instance. A worker that is only unreachable is still shown as up.
+   * Whether reads that began after `unreachableSinceMs` show that the worker no longer runs
+   * on its instance. A worker that is only unreachable is still shown as up. An instance
+   * that is not listed has been removed; two reads have to agree, since a list of several
+   * pages may miss an instance while others are added or removed. An empty list shows nothing.
    */
   hasWorkerStopped(instanceId: string, workerId: string, unreachableSinceMs: number): boolean {
-    const instance = this.instances.get(instanceId);
-    if (instance === undefined || this.listReadAtMs <= unreachableSinceMs) return false;
+    if (this.current.beganAtMs <= unreachableSinceMs || this.current.instances.size === 0) return false;
+    const instance = this.current.instances.get(instanceId);
+    if (instance === undefined)
+      return this.previous.beganAtMs > unreachableSinceMs && !this.previous.instances.has(instanceId);
     return instance.state === 'down' || (instance.workerId !== '' && instance.workerId !== workerId);
   }
 
   isLoaded(): boolean {
-    return this.listReadAtMs > -Infinity;
+    return this.current !== NOT_READ;
   }
 
   all(): Iterable<InstanceStatus> {
-    return this.instances.values();
+    return this.current.instances.values();
   }
 
   get(instanceId: string): InstanceStatus | undefined {
-    return this.instances.get(instanceId);
+    return this.current.instances.get(instanceId);
   }
 
   /** Whether the list may not show yet the effect of a command that was sent for the instance. */
@@ -117,8 +136,8 @@
     this.nextReadAtMs = nowMs + READ_INTERVAL_MS;
     try {
       const list = await this.options.operations.list();
-      this.instances = new Map(list.map((instance) => [instance.instanceId, instance]));
-      this.listReadAtMs = nowMs;
+      this.previous = this.current;
+      this.current = readOf(list, nowMs);
       this.removeCompletedCommands(nowMs);
     } catch (error) {
       if (!(error instanceof InstanceOperationsError)) throw error;
@@ -134,7 +153,7 @@
    */
   private removeCompletedCommands(readAtMs: number): void {
     for (const [instanceId, { sentAtMs }] of this.pendingCommands) {
-      const isListedAsUp = this.instances.get(instanceId)?.state === 'up';
+      const isListedAsUp = this.current.instances.get(instanceId)?.state === 'up';
       if (readAtMs - sentAtMs > MIN_EFFECT_MS && (isListedAsUp || readAtMs - sentAtMs > PENDING_LIMIT_MS))
         this.pendingCommands.delete(instanceId);
     }
