Ask the instance list about workers that are not registered

Callers saw long-running tasks without a run for the whole lease after workers had left while no leader was there to notice (LOST).

Cause: only workers with a session were looked up in the list of instances. A leader that starts after the registry has dropped the entry of a worker has no session with it, and waited for the end of its lease.

The test 'starts again at once under a new leader that finds its instance down' failed before.

Change: the runs of an unregistered worker count as lost once two reads of the list, begun after the leader missed the worker, show no instance up that runs it. An instance that is up without naming a worker may run any, and an empty list shows nothing.

--- a/placement/instance_controller.ts
+++ b/placement/instance_controller.ts
@@ -156,6 +156,12 @@
     }
   }
 
+  /** See {@link InstanceDirectory.isWorkerAbsent}; reads the list soon. */
+  isWorkerAbsent(workerId: string, sinceMs: number): boolean {
+    this.directory.readSoon();
+    return this.directory.isWorkerAbsent(workerId, sinceMs);
+  }
+
   /** Retires the sessions of unreachable workers whose instance has crashed or runs another worker. */
   private retireStoppedWorkers(): void {
     for (const session of [...this.options.fleet.all()]) {
--- a/placement/instance_directory.ts
+++ b/placement/instance_directory.ts
@@ -49,14 +49,18 @@
   /** When the read began, on the monotonic clock. */
   readonly beganAtMs: number;
   readonly instances: ReadonlyMap<string, InstanceStatus>;
+  /** Workers of the instances that are up; contains the empty string if one of them names no worker. */
+  readonly upWorkerIds: ReadonlySet<string>;
 }
 
-const NOT_READ: InstanceListRead = { beganAtMs: -Infinity, instances: new Map() };
+const NOT_READ: InstanceListRead = { beganAtMs: -Infinity, instances: new Map(), upWorkerIds: new Set() };
 
 function readOf(list: readonly InstanceStatus[], beganAtMs: number): InstanceListRead {
+  const up = list.filter(({ state }) => state === 'up');
   return {
     beganAtMs,
     instances: new Map(list.map((instance) => [instance.instanceId, instance])),
+    upWorkerIds: new Set(up.map(({ workerId }) => workerId)),
   };
 }
 
@@ -89,6 +93,17 @@
     return instance.state === 'down' || (instance.workerId !== '' && instance.workerId !== workerId);
   }
 
+  /**
+   * Whether the last two reads began after `sinceMs` and neither shows the worker on an
+   * instance that is up. An instance that is up without a worker id may run any worker.
+   */
+  isWorkerAbsent(workerId: string, sinceMs: number): boolean {
+    return [this.current, this.previous].every(
+      ({ beganAtMs, instances, upWorkerIds }) =>
+        beganAtMs > sinceMs && instances.size > 0 && !upWorkerIds.has(workerId) && !upWorkerIds.has(''),
+    );
+  }
+
   isLoaded(): boolean {
     return this.current !== NOT_READ;
   }
--- a/placement/leader_parts.ts
+++ b/placement/leader_parts.ts
@@ -150,15 +150,6 @@
     recordedRuns: (workerId) => state.runsOn(workerId),
     onRunLost,
   });
-  const unrenewedLeases = new UnrenewedLeases({
-    clock,
-    state,
-    fleet,
-    leaseEnds,
-    lostRunLog,
-    maxLeaseMs: maxWorkerLeaseMs,
-    onRunLost,
-  });
   const health = new WorkerHealth();
   const resultHandler = new RunResultHandler({ ...options, state, fleet, health });
   const limiter = new AdaptiveStartLimiter(options.processors);
@@ -184,6 +175,16 @@
       hooks.onFenced('a command to an instance was fenced');
     },
   });
+  const unrenewedLeases = new UnrenewedLeases({
+    clock,
+    state,
+    fleet,
+    leaseEnds,
+    lostRunLog,
+    maxLeaseMs: maxWorkerLeaseMs,
+    isWorkerAbsent: (workerId, sinceMs) => instanceController.isWorkerAbsent(workerId, sinceMs),
+    onRunLost,
+  });
   const advice = new AdviceCache({ clock, advice: options.advice, counters, onResponse: onPlanNeeded });
   const placer = new TaskPlacer({
     ...options,
--- a/placement/unrenewed_leases.ts
+++ b/placement/unrenewed_leases.ts
@@ -17,6 +17,8 @@
   readonly leaseEnds: LeaseEndKeeper;
   readonly lostRunLog: LostRunLog;
   readonly maxLeaseMs: number;
+  /** Whether the instance list shows since a time on the monotonic clock that no instance runs the worker. */
+  readonly isWorkerAbsent: (workerId: string, sinceMs: number) => boolean;
   /** Called when a run no longer exists and its outcome will never be known. */
   readonly onRunLost: (result: RunResult) => void;
 }
@@ -26,11 +28,12 @@
   readonly workerStartedAtMs: number;
   readonly requestedAtMs: number;
   readonly endsAtMs: number;
+  readonly awaitedSinceMs: number;
 }
 
 /**
- * Reports runs as lost whose worker is not registered once its lease has certainly ended,
- * and stores the ends of such leases and of those of unreachable workers, so that a
+ * Reports runs as lost whose worker is not registered, once its lease has certainly ended
+ * or no instance runs the worker any more, and stores the ends of such leases and of those of unreachable workers, so that a
  * successor waits only for the rest.
  *
  * @example
@@ -77,6 +80,11 @@
       this.reportLost(workerId, currentRuns, 'lease expired since the takeover');
       return;
     }
+    if (this.options.isWorkerAbsent(workerId, lease.awaitedSinceMs)) {
+      this.awaited.delete(workerId);
+      this.reportLost(workerId, currentRuns, 'stopped according to the platform');
+      return;
+    }
     leaseEnds.record({ workerId, ...lease });
     if (known !== lease) added.push(...currentRuns);
   }
@@ -90,6 +98,7 @@
       workerStartedAtMs,
       requestedAtMs: lease.requestedAtMs(),
       endsAtMs: lease.expiredAtMs(),
+      awaitedSinceMs: nowMs,
     };
     this.awaited.set(workerId, awaited);
     return awaited;
