--- a/cli/snapshot_command.ts
+++ b/cli/snapshot_command.ts
@@ -22,7 +22,10 @@
   BURST_MEMORY_TABLE,
 ];
 
-/** All tables that the product writes, besides the status rows for operators, which the leader writes again. */
+/**
+ * All tables that the product writes, besides the status rows for operators, which the
+ * leader writes again, and the ends of leases, which are times on the clock of one store.
+ */
 export const PRODUCT_TABLES: readonly TablePartition[] = [
   ...PLACEMENT_TABLES.map((table) => ({ table, partition: PLACEMENT_PARTITION })),
   ...JOB_PARTITIONS.map((partition) => ({ table: JOB_TABLE, partition })),
--- a/placement/burst_memory_test.ts
+++ b/placement/burst_memory_test.ts
@@ -1,8 +1,8 @@
 /** Guards against a forecast that forgets the bursts of earlier leaders. */
-import { StoreClock } from '../store/store_clock';
 import { VirtualClock } from '../kernel/virtual_clock';
 import { BurstForecast } from '../scheduling/burst_forecast';
 import { MemoryRows, MemoryRowStore } from '../store/memory_row_store';
+import { StoreClock } from '../store/store_clock';
 import { BurstMemoryKeeper } from './burst_memory';
 import { burstMemoryAddress } from './burst_memory_rows';
 import { FencedWriter } from './fenced_writer';
--- a/placement/fenced_writer_test.ts
+++ b/placement/fenced_writer_test.ts
@@ -1,7 +1,7 @@
 /** Guards against values that are encoded once per change, and actions that run before their change is stored. */
-import { StoreClock } from '../store/store_clock';
 import { VirtualClock } from '../kernel/virtual_clock';
 import { MemoryRows, MemoryRowStore, NO_ROW_STORE_FAULTS } from '../store/memory_row_store';
+import { StoreClock } from '../store/store_clock';
 import { FencedWriter } from './fenced_writer';
 import { LeaderElection } from './leader_election';
 
