Report a call to a malformed address as not sent

Callers saw: connections reset while every process ended and was started again. One row with a port out of range was enough.

Cause: the constructor of the HTTP client throws for an address that is no URL ("10.0.0.1:99999", "999.0.0.1:80", "10.08.0.1:80"). HttpChannel is created in the middle of a call, so that the error, which is neither "not sent" nor "outcome unknown", passed every handler and ended the process as an unhandled rejection. Each later leader read the same row and ended as well.

Change: HttpChannel accepts any address, and a call to one that cannot be called fails with CallNotSentError, as does one that the HTTP client refuses to send.

Conclusion: no caller of HttpChannel has to know which addresses are valid.

--- a/net/http_channel.ts
+++ b/net/http_channel.ts
@@ -51,7 +51,14 @@
   readonly body: unknown;
 }
 
-const NOT_SENT_CODES = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'UND_ERR_CONNECT_TIMEOUT']);
+/** `UND_ERR_INVALID_ARG`: the client refused to send the call, for example because of a header's characters. */
+const NOT_SENT_CODES = new Set([
+  'ECONNREFUSED',
+  'EHOSTUNREACH',
+  'ENETUNREACH',
+  'UND_ERR_CONNECT_TIMEOUT',
+  'UND_ERR_INVALID_ARG',
+]);
 
 /**
  * Calls one address over a bounded number of connections.
@@ -63,22 +70,24 @@
  * ```
  */
 export class HttpChannel {
-  private readonly connectionPool: Pool;
-
-  constructor(address: string, connections: number) {
-    this.connectionPool = new Pool(`http://${address}`, {
-      connections,
-      pipelining: 1,
-      connect: { timeout: CONNECT_TIMEOUT_MS },
-      keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
-      headersTimeout: 0,
-      bodyTimeout: 0,
-      maxResponseSize: MAX_RESPONSE_BYTES,
-    });
+  /** `null` if the address cannot be called. */
+  private readonly connectionPool: Pool | null;
+
+  /** Calls to an `address` that is not a host and a port fail with {@link CallNotSentError}. */
+  constructor(
+    private readonly address: string,
+    connections: number,
+  ) {
+    this.connectionPool = createPool(address, connections);
   }
 
   /** Throws {@link CallNotSentError} or {@link CallOutcomeUnknownError}. */
   call({ method, path, timeoutMs, headers, body, maySend }: HttpCall): Promise<HttpResponse> {
+    const { connectionPool } = this;
+    if (connectionPool === null)
+      return Promise.reject(
+        new CallNotSentError(`The address ${JSON.stringify(this.address)} is malformed.`),
+      );
     return new Promise((resolve, reject) => {
       const options = {
         method,
@@ -86,13 +95,30 @@
         headers: body === undefined ? { ...headers } : { 'content-type': 'application/json', ...headers },
         ...(body === undefined ? {} : { body: JSON.stringify(body) }),
       };
-      this.connectionPool.dispatch(options, new CallHandler({ timeoutMs, resolve, reject, maySend }));
+      connectionPool.dispatch(options, new CallHandler({ timeoutMs, resolve, reject, maySend }));
     });
   }
 
   /** Closes all connections; calls in progress fail. */
   close(): void {
-    void this.connectionPool.destroy();
+    void this.connectionPool?.destroy();
+  }
+}
+
+/** Returns `null` for an address for which the HTTP client throws. */
+function createPool(address: string, connections: number): Pool | null {
+  try {
+    return new Pool(`http://${address}`, {
+      connections,
+      pipelining: 1,
+      connect: { timeout: CONNECT_TIMEOUT_MS },
+      keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
+      headersTimeout: 0,
+      bodyTimeout: 0,
+      maxResponseSize: MAX_RESPONSE_BYTES,
+    });
+  } catch {
+    return null;
   }
 }
 
--- a/net/http_channel_test.ts
+++ b/net/http_channel_test.ts
@@ -54,6 +54,29 @@
   await expect(channel.call(CALL)).rejects.toThrow(CallNotSentError);
 });
 
+test.each([
+  '10.0.0.1:99999',
+  '10.0.0.1:-1',
+  '999.0.0.1:80',
+  '10.08.0.1:80',
+  '10.0.0.1:80/path',
+  'a b:80',
+  '',
+])(
+  'a call to %j, which is no address, is reported as not sent instead of ending the process',
+  async (address) => {
+    const channel = new HttpChannel(address, 1);
+    channels.push(channel);
+    await expect(channel.call(CALL)).rejects.toThrow(CallNotSentError);
+  },
+);
+
+test('a call with a header that cannot be sent is reported as not sent', async () => {
+  const channel = await serve((_request, response) => response.end('{}'));
+  const headers = { 'expect-instance': 'a\nb' };
+  await expect(channel.call({ ...CALL, headers })).rejects.toThrow(CallNotSentError);
+});
+
 test('a call that waits for a connection beyond its time limit is reported as not sent, and never is', async () => {
   const received: string[] = [];
   let release: () => void = () => undefined;
