--- a/scheduling/worker_gateway.ts
+++ b/scheduling/worker_gateway.ts
@@ -64,7 +64,7 @@
 export interface WorkerResponse {
   /** `null` if the command was applied. */
   readonly rejection: Rejection | null;
-  /** The worker's clock when it responded, in milliseconds; `null` if the response does not contain it. */
+  /** The worker's clock when it responded, in milliseconds from 0 on; `null` if the response does not contain it. */
   readonly clockMs: number | null;
 }
 
@@ -72,7 +72,7 @@
   readonly task: TaskId;
   readonly run: number;
   readonly checkpoint: string;
-  /** Progress of the task; for a long-running task, 100 once it is ready to serve. */
+  /** Progress of the task, from 0 to 100; for a long-running task, 100 once it is ready to serve. */
   readonly progressPercent: number;
   /** Rough tail latency in milliseconds for a serving task, otherwise roughly the number of processors in use. */
   readonly load: number | null;
@@ -86,7 +86,7 @@
 export type RunOutcome = 'done' | 'failed' | 'stopped' | 'lapsed' | 'broken' | 'alone';
 
 export interface EndedRun {
-  /** Sequence number of the ended run within the worker's incarnation. */
+  /** Sequence number of the ended run within the worker's incarnation, from 1 to 2^32. */
   readonly sequenceNumber: number;
   readonly task: TaskId;
   readonly run: number;
