Leave out process rows with impossible values

Callers saw: all processes ended again and again after another writer had left a row with the address "127.0.0.1:99999" in the table of processes; with "processors": 1e300, elections waited for a machine that does not exist.

Cause: the schema of the row accepted any text as the address and any number of processors.

Change: net/socket_address.ts holds the check of addresses that other programs write, for entries of workers and for processes; processors are from 0 to 10,000.

Evidence: the extended test of malformed registrations in relay/forwarding_job_operations_test.ts failed before (all four addresses and the number 1e300 were taken over). A JSON text of 20,000 levels was left out before as well.

Conclusion: addresses of other writers pass one check before they are used.

--- a/relay/forwarding_job_operations_test.ts
+++ b/relay/forwarding_job_operations_test.ts
@@ -117,7 +117,19 @@
   test('a malformed registration of a process is left out', async () => {
     const virtualClock = new VirtualClock();
     const store = new MemoryRowStore(new MemoryRows(), virtualClock);
-    const values = ['{', 'null', '{"address":7}', '{"address":"10.0.0.9:7000","processors":4}'];
+    const values = [
+      '{',
+      'null',
+      '{"address":7}',
+      '{"address":"10.0.0.8:99999","processors":4}',
+      '{"address":"10.0.0.8:0","processors":4}',
+      '{"address":"10.0.0.8","processors":4}',
+      '{"address":"10.0.0.8:80/path","processors":4}',
+      '{"address":"10.0.0.8:7000","processors":1e300}',
+      '{"address":"10.0.0.8:7000","processors":-1}',
+      '['.repeat(20_000) + ']'.repeat(20_000),
+      '{"address":"10.0.0.9:7000","processors":4}',
+    ];
     await store.transact({
       conditions: [],
       writes: values.map((value, index) => ({ table: 'processes', partition: '', key: `n${index}`, value })),
@@ -132,6 +144,7 @@
     registry.start();
     await virtualClock.advanceAsync(50);
     expect(registry.largerPeerAddresses()).toEqual(['10.0.0.9:7000']);
+    expect(registry.peerAddresses()).toEqual(['10.0.0.9:7000']);
     registry.stop();
   });
 });
--- a/relay/process_registry.ts
+++ b/relay/process_registry.ts
@@ -1,6 +1,7 @@
 /** Registry of the addresses of the scheduler processes, in rows of the store. */
 import { z } from 'zod';
 import type { Clock } from '../kernel/clock';
+import { isSocketAddress } from '../net/socket_address';
 import { isStoreFailure, type RowChange, type RowStore } from '../store/row_store';
 import { TableFollower } from '../store/table_follower';
 
@@ -20,10 +21,13 @@
 /** A process with at least this many times the processors of another one is preferred as the placement leader. */
 const LARGER_PEER_FACTOR = 1.5;
 
+/** Largest number of processors of a machine; a row with more was not written by a process. */
+const MAX_PROCESSORS = 10_000;
+
 const processSchema = z.object({
-  address: z.string(),
+  address: z.string().refine(isSocketAddress),
   /** Absent from rows that earlier versions wrote. */
-  processors: z.number().default(0),
+  processors: z.number().min(0).max(MAX_PROCESSORS).default(0),
 });
 
 type ProcessRow = Readonly<z.infer<typeof processSchema>>;
