Follow a table although one of its rows cannot be handled

Callers saw: processes that ended again and again, since each one read the same row after its start, and each leader in its takeover.

Cause: a follower ended with the first error of its handler that was no failure of the store. The promise that nobody awaited ended the process. The rows behind the faulty one were not handled either.

Change: if the handler throws, the follower hands the changes over again one by one, reports the rows that still fail (events 745 and 746, counter store.follower_failed) and goes on; an unexpected error of a read is reported, and the read repeated. All four followers log through one function. The handlers may be given a row twice: they set the state that the row describes.

Conclusion: no row of the store can end a follower. What a handler leaves for later, such as planning, is not covered by this.

--- a/daemon/operator_plugin.ts
+++ b/daemon/operator_plugin.ts
@@ -9,6 +9,7 @@
 import type { RowChange } from '../store/row_store';
 import { TableFollower } from '../store/table_follower';
 import { LOG_EVENTS } from '../telemetry/events_catalogue';
+import { logFollowerFailures } from '../telemetry/follower_failures';
 import { OPERATOR_STATE, PLATFORM_ROW_CODEC, ROW_STORE, CURRENT_RULES } from './capabilities';
 
 /**
@@ -49,6 +50,7 @@
       onChanges: (changes) => {
         for (const change of changes) this.handleChange(kernel, change);
       },
+      onFailure: logFollowerFailures({ logger: kernel.use(LOGGER), counters: kernel.use(COUNTERS) }),
       onContact: (isReachable) => {
         this.recordContact(kernel, isReachable);
       },
--- a/placement/leader_parts.ts
+++ b/placement/leader_parts.ts
@@ -13,6 +13,7 @@
 import type { RowChange, RowStore } from '../store/row_store';
 import { TableFollower } from '../store/table_follower';
 import type { Counters } from '../telemetry/counters';
+import { logFollowerFailures } from '../telemetry/follower_failures';
 import type { Logger } from '../telemetry/logger';
 import { AdviceCache } from './advice_cache';
 import { BurstMemoryKeeper } from './burst_memory';
@@ -186,12 +187,14 @@
       resultHandler.stopRuns(job);
     },
   });
+  const onFailure = logFollowerFailures(options);
   const jobFollower = new TableFollower({
     store,
     clock,
     table: JOB_TABLE,
     partitions: JOB_PARTITIONS,
     waitMs: JOB_FEED_WAIT_MS,
+    onFailure,
     onChanges: (changes) => {
       intake.handleChanges(changes);
     },
@@ -204,6 +207,7 @@
     waitMs: WORKER_FEED_WAIT_MS,
     pauseMs: WORKER_FEED_PAUSE_MS,
     onChanges: onWorkerChanges,
+    onFailure,
   });
   return {
     writer,
--- a/relay/forwarding_job_operations_test.ts
+++ b/relay/forwarding_job_operations_test.ts
@@ -140,6 +140,9 @@
       nodeName: 'me',
       address: 'a:1',
       processors: 1,
+      onFailure: ({ error }) => {
+        throw error;
+      },
     });
     registry.start();
     await virtualClock.advanceAsync(50);
--- a/relay/process_registry.ts
+++ b/relay/process_registry.ts
@@ -3,7 +3,7 @@
 import type { Clock } from '../kernel/clock';
 import { isSocketAddress } from '../net/socket_address';
 import { isStoreFailure, type RowChange, type RowStore } from '../store/row_store';
-import { TableFollower } from '../store/table_follower';
+import { TableFollower, type FollowerFailure } from '../store/table_follower';
 
 export const PROCESS_TABLE = 'processes';
 export const PROCESS_PARTITION = '';
@@ -40,6 +40,8 @@
   readonly address: string;
   /** Processors that this process may use. */
   readonly processors: number;
+  /** As in {@link TableFollowerOptions}. */
+  readonly onFailure: (failure: FollowerFailure) => void;
 }
 
 /** Registers this process and tracks the addresses of the other processes. */
@@ -58,6 +60,7 @@
       onChanges: (changes) => {
         for (const change of changes) this.applyChange(change);
       },
+      onFailure: options.onFailure,
     });
   }
 
--- a/relay/relay_plugin.ts
+++ b/relay/relay_plugin.ts
@@ -12,7 +12,8 @@
 import type { Kernel } from '../kernel/kernel';
 import { Plugin } from '../kernel/plugin';
 import { pluginRegistry } from '../kernel/plugin_registry';
-import { COUNTERS } from '../settings/base_capabilities';
+import { COUNTERS, LOGGER } from '../settings/base_capabilities';
+import { logFollowerFailures } from '../telemetry/follower_failures';
 import { metricsText } from '../telemetry/metrics_text';
 import { ProcessRegistry } from './process_registry';
 import { RelayClient } from './relay_client';
@@ -41,6 +42,7 @@
       nodeName,
       address: `${internalAddress.host}:${internalAddress.port}`,
       processors,
+      onFailure: logFollowerFailures({ logger: kernel.use(LOGGER), counters: kernel.use(COUNTERS) }),
     });
     const client = new RelayClient(() => registry.peerAddresses());
     this.registry = registry;
--- a/store/table_follower.ts
+++ b/store/table_follower.ts
@@ -15,6 +15,14 @@
  */
 const FAILURES_BEFORE_FULL_READ = 3;
 
+/** An error that is no failure of the store. */
+export interface FollowerFailure {
+  readonly table: string;
+  /** The row that was not handled; `null` if the error has another cause than one row. */
+  readonly key: string | null;
+  readonly error: unknown;
+}
+
 export interface TableFollowerOptions {
   readonly store: RowStore;
   readonly clock: Clock;
@@ -30,8 +38,14 @@
    * table that changes constantly.
    */
   readonly pauseMs?: number;
-  /** Called with changes in version order; if `isComplete`, rows that are not listed do not exist. */
+  /**
+   * Called with changes in version order; if `isComplete`, rows that are not listed do not
+   * exist. If it throws, it is called again with each of the changes alone, so that only
+   * rows that cannot be handled are left out.
+   */
   readonly onChanges: (changes: readonly RowChange[], isComplete: boolean) => void;
+  /** Called with each error that is no failure of the store, after which the follower goes on. */
+  readonly onFailure: (failure: FollowerFailure) => void;
   /** Called after every call, with whether the store responded. */
   readonly onContact?: (isReachable: boolean) => void;
 }
@@ -42,7 +56,7 @@
  *
  * @example
  * ```ts
- * const follower = new TableFollower({ store, clock, table: 'op', partitions: [''], waitMs: 1500, onChanges });
+ * const follower = new TableFollower({ store, clock, table: 'op', partitions: [''], waitMs: 1500, onChanges, onFailure });
  * void follower.run();
  * ```
  */
@@ -90,7 +104,7 @@
     return () => {
       if (this.stopped) return;
       this.version = Math.min(...snapshots.map(({ version }) => version));
-      this.options.onChanges(
+      this.handOver(
         snapshots.flatMap(({ rows }) => rows),
         true,
       );
@@ -112,11 +126,35 @@
         this.version = null;
         return true;
       }
-      if (isStoreFailure(error)) return false;
-      throw error;
+      if (!isStoreFailure(error)) this.reportFailure(null, error);
+      return false;
+    }
+  }
+
+  private handOver(changes: readonly RowChange[], isComplete: boolean): void {
+    try {
+      this.options.onChanges(changes, isComplete);
+    } catch (error) {
+      const failed = changes.filter((change) => !this.handOverRow(change));
+      if (failed.length === 0) this.reportFailure(null, error);
     }
   }
 
+  /** Returns whether the row was handled. */
+  private handOverRow(change: RowChange): boolean {
+    try {
+      this.options.onChanges([change], false);
+      return true;
+    } catch (error) {
+      this.reportFailure(change.key, error);
+      return false;
+    }
+  }
+
+  private reportFailure(key: string | null, error: unknown): void {
+    this.options.onFailure({ table: this.options.table, key, error });
+  }
+
   /** After repeated failures, full reads and feed calls alternate, since either may be the one that fails. */
   private shouldReadTable(): boolean {
     return this.consecutiveFailures >= FAILURES_BEFORE_FULL_READ && this.consecutiveFailures % 2 === 1;
@@ -128,6 +166,6 @@
     const result = await store.changes(table, version, this.consecutiveFailures > 0 ? 0 : waitMs);
     if (this.stopped) return;
     this.version = result.version;
-    if (result.changes.length > 0) this.options.onChanges(result.changes, false);
+    if (result.changes.length > 0) this.handOver(result.changes, false);
   }
 }
--- a/store/table_follower_test.ts
+++ b/store/table_follower_test.ts
@@ -34,6 +34,9 @@
     onChanges: (changes) => {
       lastChange = changes.at(-1) ?? lastChange;
     },
+    onFailure: ({ error }) => {
+      throw error;
+    },
   });
   await writer.transact({ conditions: [], writes: [{ ...ROW, value: 'first' }] });
   void follower.run();
--- a/telemetry/events_catalogue.ts
+++ b/telemetry/events_catalogue.ts
@@ -60,6 +60,8 @@
   storeReachable: logEvent(722, 'store reachable'),
   storeUnreachable: logEvent(723, 'store unreachable'),
   poolSummary: logEvent(724, 'pool summary'),
+  rowHandlingFailed: logEvent(745, 'row handling failed'),
+  tableReadFailed: logEvent(746, 'table read failed'),
   jobAccepted: logEvent(730, 'job accepted'),
   jobRejected: logEvent(731, 'job rejected'),
   settingsReloaded: logEvent(732, 'settings file read again'),
