Leave odd rows in the fault soak

Cause: the soak paused, killed and cut off processes, but all rows in its store were well-formed, so that it could not show processes that end because of a row of another writer, again after a restart and in a takeover.

Change: every 0.5 s the soak writes an odd entry among those of the workers, one among those of the processes and an unusable row in one of the other tables. They stay, so that restarted processes and new leaders read them. They use a seed of their own: the other faults of a seed are the same as before. A process that has ended by itself is reported also if the seed then kills it. The pattern of the test requires odd rows besides faults and no violation.

Conclusion: the class of fault is part of each seed from now on.

--- a/soak/fault_soak.ts
+++ b/soak/fault_soak.ts
@@ -9,6 +9,7 @@
 import { StoreStandin } from '../platform/standins/store_standin';
 import { encodeWorkerEntry } from '../platform/standins/worker_entry_encoding';
 import { WorkerStandinServer } from '../platform/standins/worker_standin_server';
+import { OddRowWriter } from './odd_row_writer';
 import { PromiseLedger } from './promise_ledger';
 import { SchedulerProcess } from './scheduler_process';
 import { TcpProxy, type ProxyMode } from './tcp_proxy';
@@ -23,6 +24,8 @@
 const GIBIBYTE = 2 ** 30;
 /** Time after the last fault within which all accepted jobs have to be completed, in milliseconds. */
 const RECOVERY_MS = 25_000;
+/** Interval at which another writer leaves odd rows, in milliseconds. */
+const ODD_ROW_INTERVAL_MS = 500;
 
 export interface SoakOptions {
   readonly seed: number;
@@ -38,6 +41,8 @@
   readonly acceptedJobs: number;
   readonly starts: number;
   readonly faults: readonly string[];
+  /** What was odd about the rows that another writer left. */
+  readonly oddRows: readonly string[];
   readonly logFiles: readonly string[];
 }
 
@@ -82,7 +87,9 @@
     onMaintain: () => undefined,
   });
   private readonly faults: string[] = [];
+  private readonly oddRows: string[] = [];
   private nodes: readonly Node[] = [];
+  private workerAddress = '';
   private jobCount = 0;
 
   constructor(private readonly options: SoakOptions) {
@@ -93,7 +100,7 @@
     await this.startDeployment();
     const { durationMs } = this.options;
     const untilMs = this.clock.monotonicMs() + durationMs;
-    await Promise.all([this.submitJobs(untilMs), this.disturb(untilMs)]);
+    await Promise.all([this.submitJobs(untilMs), this.disturb(untilMs), this.leaveOddRows(untilMs)]);
     await this.awaitCompletion();
     return {
       seed: this.options.seed,
@@ -101,6 +108,7 @@
       acceptedJobs: this.ledger.acceptedJobs().length,
       starts: this.ledger.startCount,
       faults: this.faults,
+      oddRows: this.oddRows,
       logFiles: this.nodes.map(({ process }) => process.logFile),
     };
   }
@@ -116,9 +124,10 @@
 
   private async startDeployment(): Promise<void> {
     const storeAddress = await this.store.listen();
-    const workerAddress = await this.workerServer.listen();
+    this.workerAddress = await this.workerServer.listen();
     const instancesAddress = await this.instances.listen();
-    for (let number = 0; number < WORKERS; number += 1) this.addWorker(`worker-${number}`, workerAddress);
+    for (let number = 0; number < WORKERS; number += 1)
+      this.addWorker(`worker-${number}`, this.workerAddress);
     const queue = { queueId: 'queue', poolId: POOL, host: HOST, pathPrefix: PATH_PREFIX };
     const rules = { version: 1, queues: [queue], poolIds: [POOL], keyByClientAccount: { account: KEY } };
     this.store.rows.apply({ conditions: [], writes: [encodeRules(rules)] });
@@ -263,8 +272,11 @@
       pending.push(this.playFault());
     }
     await Promise.all(pending);
-    for (const { process } of this.nodes)
-      if (process.hasEnded()) this.ledger.report(`${process.settings.nodeName} ended by itself`);
+    for (const node of this.nodes) this.checkRunning(node);
+  }
+
+  private checkRunning({ process }: Node): void {
+    if (process.hasEnded()) this.ledger.report(`${process.settings.nodeName} ended by itself`);
   }
 
   private async playFault(): Promise<void> {
@@ -278,6 +290,7 @@
     };
     if (kind === 0) {
       record('killed for');
+      this.checkRunning(node);
       await node.process.kill();
       await this.clock.delay(lengthMs / 2);
       node.process.start();
@@ -301,6 +314,19 @@
     }
   }
 
+  private async leaveOddRows(untilMs: number): Promise<void> {
+    const writer = new OddRowWriter({
+      seed: this.options.seed,
+      poolId: POOL,
+      workerAddress: this.workerAddress,
+      write: (writes) => this.store.rows.apply({ conditions: [], writes }),
+    });
+    while (this.clock.monotonicMs() < untilMs) {
+      this.oddRows.push(...writer.leaveRows());
+      await this.clock.delay(ODD_ROW_INTERVAL_MS);
+    }
+  }
+
   /** Waits until each accepted job is shown as completed; reports those that are not, or not known. */
   private async awaitCompletion(): Promise<void> {
     const deadlineAtMs = this.clock.monotonicMs() + RECOVERY_MS;
--- a/soak/fault_soak_main.ts
+++ b/soak/fault_soak_main.ts
@@ -40,12 +40,17 @@
   process.exit(failedSeeds.length === 0 ? 0 : 1);
 }
 
-function print({ seed, violations, acceptedJobs, starts, faults, logFiles }: SoakResult): void {
+function print({ seed, violations, acceptedJobs, starts, faults, oddRows, logFiles }: SoakResult): void {
   process.stdout.write(
-    `seed ${seed}: ${acceptedJobs} jobs accepted, ${starts} starts, ${faults.length} faults, ${violations.length} violations\n`,
+    `seed ${seed}: ${acceptedJobs} jobs accepted, ${starts} starts, ${faults.length} faults, ${oddRows.length} odd rows, ${violations.length} violations\n`,
   );
   if (violations.length === 0) return;
-  const details = [...violations.slice(0, 10), ...faults.map((fault) => `fault: ${fault}`), ...logFiles];
+  const details = [
+    ...violations.slice(0, 10),
+    ...faults.map((fault) => `fault: ${fault}`),
+    ...oddRows.map((row) => `odd row: ${row}`),
+    ...logFiles,
+  ];
   process.stdout.write(`  ${details.join('\n  ')}\n`);
 }
 
--- a/soak/fault_soak_test.ts
+++ b/soak/fault_soak_test.ts
@@ -1,4 +1,7 @@
-/** Guards against lost, repeated or falsely rejected work while real processes are killed, paused and cut off. */
+/**
+ * Guards against lost, repeated or falsely rejected work while real processes are killed,
+ * paused and cut off, and against processes that end because of a row of another writer.
+ */
 import { execFile } from 'node:child_process';
 import path from 'node:path';
 import { promisify } from 'node:util';
@@ -14,7 +17,9 @@
     // The program exits with 1 and names each broken promise if there is one.
     const args = [PROGRAM, '--seed', String(seed), '--seeds', '1', '--seconds', '6', '--processes', '3'];
     const { stdout } = await promisify(execFile)(process.execPath, args);
-    expect(stdout).toMatch(/[1-9]\d+ jobs accepted, .* (?:[3-9]|[1-9]\d+) faults, 0 violations/);
+    expect(stdout).toMatch(
+      /[1-9]\d+ jobs accepted, .* (?:[3-9]|[1-9]\d+) faults, [1-9]\d+ odd rows, 0 violations/,
+    );
   },
   90_000,
 );
