Leave out stored jobs whose numbers are out of range

Callers saw: the leader ended or hung with each planning pass, and so did every later one, because of one row in the table of jobs or of their progress.

Cause: the schemas of our rows check types. A job of 2^50 tasks or occurrences is counted through in a loop; a step that waits for a step that does not exist, and recorded runs of a step that the job does not have, throw a RangeError in the planning pass or in a timer. A row under the key of one job with the id of another was taken for the other job; negative demands raised the free capacity.

Change: scheduling/stored_job.ts checks the key, the counts, the order of steps, the demands and that the progress belongs to the job, with the limits that callers' jobs are accepted under. Such a job counts as unusable (event 727).

Conclusion: the loops and look-ups of the leader rely on checked numbers.

--- a/placement/job_intake.ts
+++ b/placement/job_intake.ts
@@ -2,7 +2,8 @@
 import type { Clock } from '../kernel/clock';
 import type { FleetRules } from '../scheduling/fleet_rules';
 import { isEnded, type JobProgress } from '../scheduling/job_progress';
-import { cancelledJobId, decodeJob, decodeProgress, RowFormatError } from '../scheduling/job_rows';
+import { cancelledJobId, decodeProgress, RowFormatError } from '../scheduling/job_rows';
+import { decodeStoredJob } from '../scheduling/stored_job';
 import type { RowChange, StoredRow } from '../store/row_store';
 import type { Counters } from '../telemetry/counters';
 import { LOG_EVENTS } from '../telemetry/events_catalogue';
@@ -78,10 +79,10 @@
 
   private handleJob(key: string, value: string): void {
     const { clock, state, rules, logger } = this.options;
-    const accepted = this.decodeRow(key, () => decodeJob(value));
+    const progress = this.inheritedProgress.get(key);
+    const accepted = this.decodeRow(key, () => decodeStoredJob(key, value, progress));
     if (accepted === null || this.unusableJobIds.has(key)) return;
     const ageMs = this.isLoaded ? 0 : Math.max(0, clock.wallMs() - accepted.acceptedAtMs);
-    const progress = this.inheritedProgress.get(accepted.jobId);
     const job = state.jobs.add(accepted, progress, clock.monotonicMs() - ageMs);
     if (job === null) return;
     state.addInheritedRuns(job);
