Bound the sizes and times in the rows of bursts and waves

Callers saw: a pool without instances after another writer had left a row of bursts with a size of 1e308; a wave that was not carried out, or a second time.

Cause: the schemas accepted any finite number. The expected height of a burst is the product of two such sizes; with Infinity, the share of the pool is not a number, and it gets no instance. The row of a wave under the key "1.0" stood for wave 1.

Change: sizes are from 0 to 1,000,000 instances, the start of a wave is a time that is not negative, and only the canonical form of a wave's number counts.

--- a/placement/burst_memory_rows.ts
+++ b/placement/burst_memory_rows.ts
@@ -6,9 +6,14 @@
 
 export const BURST_MEMORY_TABLE = 'bursts';
 
+/** Largest size of a pool. A larger one would make the sizes of all pools infinite in proportion to it. */
+const MAX_INSTANCES = 1_000_000;
+
+const instancesSchema = z.number().min(0).max(MAX_INSTANCES);
+
 const memorySchema = z.object({
-  provisionedInstances: z.number().min(0),
-  heights: z.array(z.number()).readonly(),
+  provisionedInstances: instancesSchema,
+  heights: z.array(instancesSchema).readonly(),
 });
 
 export function burstMemoryAddress(poolId: string): RowAddress {
--- a/placement/placement_leader_test.ts
+++ b/placement/placement_leader_test.ts
@@ -84,6 +84,26 @@
     expect(harness.instances.commands).toEqual([]);
   });
 
+  test("a row under another form of a wave's number does not stand for the wave", async () => {
+    const harness = new PlacementHarness();
+    await harness.addWorker('w1');
+    const value = JSON.stringify({ begun: ['m-w1'], isCompleted: true, orderedAtMs: 1 });
+    await harness.writeRow({ table: 'waves', partition: 'placement', key: '1.0', value });
+    harness.instances.instances.set('m-w1', {
+      instanceId: 'm-w1',
+      poolId: 'p',
+      state: 'up',
+      availabilityZone: 'z',
+      labels: [],
+      capacity: { processors: 4, memoryBytes: 1_000, accelerators: 0 },
+      workerId: 'w1',
+    });
+    harness.waves.set(1, { waveNumber: 1, instanceIds: ['m-w1'], timeLimitMs: 1_000, maxConcurrent: 1 });
+    void harness.process('a').run();
+    await harness.advance(3_000);
+    expect(harness.instances.commands).toContain('maintain m-w1 1');
+  });
+
   test('an undecodable lease keeps all processes waiting and ends none', async () => {
     const harness = new PlacementHarness();
     const worker = await harness.addWorker('w1');
--- a/placement/wave_progress_keeper.ts
+++ b/placement/wave_progress_keeper.ts
@@ -42,7 +42,8 @@
   /** Loads what earlier leaders have stored. Throws the errors of {@link RowStore.read}. */
   async load(): Promise<void> {
     const { rows } = await this.options.store.read({ table: WAVE_TABLE, partition: PLACEMENT_PARTITION });
-    for (const { key, value } of rows) this.loadRow(Number(key), value);
+    // Another form of a number is no key of this system, and must not stand for the wave of that number.
+    for (const { key, value } of rows) if (String(Number(key)) === key) this.loadRow(Number(key), value);
   }
 
   /** Progress of a wave, which begins now if it is new; `null` if it may not be continued. */
--- a/placement/wave_rows.ts
+++ b/placement/wave_rows.ts
@@ -10,7 +10,7 @@
   begun: z.array(z.string()).readonly(),
   isCompleted: z.boolean(),
   /** Unix time at which a leader first read the wave, in milliseconds. */
-  orderedAtMs: z.number(),
+  orderedAtMs: z.number().min(0).max(Number.MAX_SAFE_INTEGER),
 });
 
 export type WaveProgress = Readonly<z.infer<typeof waveProgressSchema>>;
