Answer 503 when a row that the answer depends on cannot be decoded

Callers saw: status 500 for the number of pending jobs or for the state of a job, and a stack trace in the process's output.

Cause: the row of a queue's pending jobs was decoded with an error of its own, and the interface for callers knew neither that one nor RowFormatError.

Change: decodeQueueStatus throws RowFormatError as the other decoders of our rows do; the interface for callers answers 503 with Retry-After, reason row_unusable. The process stays as it was: 500 did not end it.

--- a/callers/job_api.ts
+++ b/callers/job_api.ts
@@ -3,6 +3,7 @@
 import type { HttpBindings } from '@hono/node-server';
 import type { Clock } from '../kernel/clock';
 import { findQueue, type FleetRules, type QueueRule } from '../scheduling/fleet_rules';
+import { RowFormatError } from '../scheduling/job_rows';
 import { StoreOutcomeUnknownError, StoreUnavailableError } from '../store/row_store';
 import type { Counters } from '../telemetry/counters';
 import { LOG_EVENTS } from '../telemetry/events_catalogue';
@@ -97,6 +98,7 @@
     } catch (error) {
       if (error instanceof StoreUnavailableError) return this.reject(context, 503, 'store_unavailable');
       if (error instanceof StoreOutcomeUnknownError) return this.reject(context, 504, 'outcome_unknown');
+      if (error instanceof RowFormatError) return this.reject(context, 503, 'row_unusable');
       if (error instanceof BadBodyError) return this.reject(context, 400, 'bad_body', error.message);
       throw error;
     }
--- a/placement/queue_status.ts
+++ b/placement/queue_status.ts
@@ -1,6 +1,6 @@
 /** Row with the number of pending jobs of a queue. */
 import { z } from 'zod';
-import { PLACEMENT_PARTITION } from '../scheduling/job_rows';
+import { decodeJsonRow, PLACEMENT_PARTITION } from '../scheduling/job_rows';
 import type { RowAddress } from '../store/row_store';
 
 const queueStatusSchema = z.object({
@@ -18,6 +18,7 @@
   return JSON.stringify(status);
 }
 
+/** Throws `RowFormatError` if the row cannot be decoded. */
 export function decodeQueueStatus(value: string): QueueStatus {
-  return queueStatusSchema.parse(JSON.parse(value));
+  return decodeJsonRow(queueStatusSchema, value);
 }
