--- a/placement/lease_end_rows.ts
+++ b/placement/lease_end_rows.ts
@@ -7,9 +7,9 @@
 
 const leaseEndSchema = z.object({
   /** Start of the worker's incarnation, by its own clock; 0 if unknown. */
-  workerStartedAtMs: z.number(),
+  workerStartedAtMs: z.number().min(0).max(Number.MAX_SAFE_INTEGER),
   /** Time on the store's clock from which nothing runs on that incarnation. */
-  endsAtStoreMs: z.number(),
+  endsAtStoreMs: z.number().min(0).max(Number.MAX_SAFE_INTEGER),
 });
 
 export type LeaseEndRow = Readonly<z.infer<typeof leaseEndSchema>>;
