Take only a complete and recent list as evidence that a worker has stopped

Callers could have seen a second run of a task (TWICE).

Cause: an instance that the list does not contain counted as removed, also if the worker's entry names no instance, if the entry of the instance in the list could not be decoded and was left out, or if the list was behind by less than a second and did not contain a new instance yet.

Change: the list says whether all of its entries could be decoded. An absence, or another worker on the instance, counts only in a read that began more than a second after the worker became unreachable, and the one before.

--- a/placement/_placement_harness.ts
+++ b/placement/_placement_harness.ts
@@ -7,6 +7,7 @@
 import type { FleetRules, QueueRule } from '../scheduling/fleet_rules';
 import {
   InstanceOperations,
+  type InstanceInventory,
   type InstanceStatus,
   type CommandIssuer,
   type InstanceCommandResult,
@@ -98,8 +99,8 @@
   readonly issuers: CommandIssuer[] = [];
   readonly instances = new Map<string, InstanceStatus>();
 
-  override list(): Promise<readonly InstanceStatus[]> {
-    return Promise.resolve([...this.instances.values()]);
+  override list(): Promise<InstanceInventory> {
+    return Promise.resolve({ instances: [...this.instances.values()], isComplete: true });
   }
 
   override move(instanceId: string, poolId: string, issuer: CommandIssuer): Promise<InstanceCommandResult> {
--- a/placement/instance_directory.ts
+++ b/placement/instance_directory.ts
@@ -3,6 +3,7 @@
 import {
   InstanceOperationsError,
   type InstanceOperations,
+  type InstanceInventory,
   type InstanceStatus,
 } from '../scheduling/instance_operations';
 import type { Counters } from '../telemetry/counters';
@@ -17,9 +18,9 @@
 const EARLY_READ_MS = 250;
 
 /**
- * A read counts as showing the effect of a command only if it began more than this
- * time, in milliseconds, after the command was sent. A read may overtake a command,
- * and moves and maintenance take longer than this.
+ * A read counts as showing the effect of a command, or a new worker, only if it began more
+ * than this time, in milliseconds, after the command was sent or the worker was in use. A
+ * read may overtake a command, and moves and maintenance take longer than this.
  */
 const MIN_EFFECT_MS = 1_000;
 
@@ -48,18 +49,27 @@
 interface InstanceListRead {
   /** When the read began, on the monotonic clock. */
   readonly beganAtMs: number;
+  /** Whether an instance that is not among them does not exist. */
+  readonly showsAbsence: boolean;
   readonly instances: ReadonlyMap<string, InstanceStatus>;
   /** Workers of the instances that are up; contains the empty string if one of them names no worker. */
   readonly upWorkerIds: ReadonlySet<string>;
 }
 
-const NOT_READ: InstanceListRead = { beganAtMs: -Infinity, instances: new Map(), upWorkerIds: new Set() };
+const NOT_READ: InstanceListRead = {
+  beganAtMs: -Infinity,
+  showsAbsence: false,
+  instances: new Map(),
+  upWorkerIds: new Set(),
+};
 
-function readOf(list: readonly InstanceStatus[], beganAtMs: number): InstanceListRead {
-  const up = list.filter(({ state }) => state === 'up');
+function readOf({ instances, isComplete }: InstanceInventory, beganAtMs: number): InstanceListRead {
+  const up = instances.filter(({ state }) => state === 'up');
   return {
     beganAtMs,
-    instances: new Map(list.map((instance) => [instance.instanceId, instance])),
+    // A platform without any instance runs no worker, so that an empty list is a fault of the list.
+    showsAbsence: isComplete && instances.length > 0,
+    instances: new Map(instances.map((instance) => [instance.instanceId, instance])),
     upWorkerIds: new Set(up.map(({ workerId }) => workerId)),
   };
 }
@@ -83,27 +93,42 @@
    * Whether reads that began after `unreachableSinceMs` show that the worker no longer runs
    * on its instance. A worker that is only unreachable is still shown as up. An instance
    * that is not listed has been removed; two reads have to agree, since a list of several
-   * pages may miss an instance while others are added or removed. An empty list shows nothing.
+   * pages may miss an instance while others are added or removed.
    */
   hasWorkerStopped(instanceId: string, workerId: string, unreachableSinceMs: number): boolean {
-    if (this.current.beganAtMs <= unreachableSinceMs || this.current.instances.size === 0) return false;
+    // The entry of a worker may lack its instance.
+    if (instanceId === '' || this.current.beganAtMs <= unreachableSinceMs) return false;
     const instance = this.current.instances.get(instanceId);
+    if (instance?.state === 'down') return true;
+    if (!this.isUpToDate(unreachableSinceMs)) return false;
     if (instance === undefined)
-      return this.previous.beganAtMs > unreachableSinceMs && !this.previous.instances.has(instanceId);
-    return instance.state === 'down' || (instance.workerId !== '' && instance.workerId !== workerId);
+      return (
+        this.current.showsAbsence && this.previous.showsAbsence && !this.previous.instances.has(instanceId)
+      );
+    return instance.workerId !== '' && instance.workerId !== workerId;
   }
 
   /**
-   * Whether the last two reads began after `sinceMs` and neither shows the worker on an
-   * instance that is up. An instance that is up without a worker id may run any worker.
+   * Whether the last two reads show the worker on no instance that is up, and the list is not
+   * behind `sinceMs`. An instance that is up without a worker id may run any worker.
    */
   isWorkerAbsent(workerId: string, sinceMs: number): boolean {
-    return [this.current, this.previous].every(
-      ({ beganAtMs, instances, upWorkerIds }) =>
-        beganAtMs > sinceMs && instances.size > 0 && !upWorkerIds.has(workerId) && !upWorkerIds.has(''),
+    return (
+      this.isUpToDate(sinceMs) &&
+      [this.current, this.previous].every(
+        ({ showsAbsence, upWorkerIds }) => showsAbsence && !upWorkerIds.has(workerId) && !upWorkerIds.has(''),
+      )
     );
   }
 
+  /**
+   * Whether the last two reads began after `sinceMs` and the last one so much later that it
+   * shows instances and workers that were new at that time.
+   */
+  private isUpToDate(sinceMs: number): boolean {
+    return this.previous.beganAtMs > sinceMs && this.current.beganAtMs > sinceMs + MIN_EFFECT_MS;
+  }
+
   isLoaded(): boolean {
     return this.current !== NOT_READ;
   }
@@ -150,9 +175,9 @@
     this.isReading = true;
     this.nextReadAtMs = nowMs + READ_INTERVAL_MS;
     try {
-      const list = await this.options.operations.list();
+      const inventory = await this.options.operations.list();
       this.previous = this.current;
-      this.current = readOf(list, nowMs);
+      this.current = readOf(inventory, nowMs);
       this.removeCompletedCommands(nowMs);
     } catch (error) {
       if (!(error instanceof InstanceOperationsError)) throw error;
--- a/scheduling/instance_operations.ts
+++ b/scheduling/instance_operations.ts
@@ -13,6 +13,13 @@
   readonly workerId: string;
 }
 
+/** The instances at one moment. */
+export interface InstanceInventory {
+  readonly instances: readonly InstanceStatus[];
+  /** Whether every entry could be decoded; otherwise an instance that is missing may exist. */
+  readonly isComplete: boolean;
+}
+
 /** The leader that sends a command. A later leader has a higher fencing token. */
 export interface CommandIssuer {
   /** Node name of the leader. */
@@ -41,7 +48,7 @@
 
 /** The platform's instance service. Every method throws {@link InstanceOperationsError}. */
 export abstract class InstanceOperations {
-  abstract list(): Promise<readonly InstanceStatus[]>;
+  abstract list(): Promise<InstanceInventory>;
   /** Stops everything that runs on the instance at once; a new worker joins `poolId` some time later. */
   abstract move(instanceId: string, poolId: string, issuer: CommandIssuer): Promise<InstanceCommandResult>;
   /** Stops everything that runs on the instance at once; a new worker joins the same pool some time later. */
