Store the end of a lease only after 2.5 s and while the store responds

Callers could have seen a healthy task end (lapsed) after an interruption of a second: if the store failed before the row was written or removed, the lease was withheld until the store was back. While it was withheld the leader made 25 lease calls a second to the worker, a run that is not recorded wrote and removed its row every 250 ms, and a start that was not sent was logged as not_reached.

Change: a row is written after 2.5 s without contact, which is longer than one lease call, for workers with recorded runs, and only while transactions succeed. A withheld lease is asked about every 300 ms. A start that would request it is logged as lease_withheld. Runs of unknown incarnation are not taken for replaced ones. Worker ids with runs are iterated without copies.

--- a/placement/lease_end_keeper.ts
+++ b/placement/lease_end_keeper.ts
@@ -78,24 +78,25 @@
 
   /** Stores the end of a lease, once, as soon as the store's clock has been seen after the last request. */
   record({ workerId, workerStartedAtMs, requestedAtMs, endsAtMs }: UnrenewedLease): void {
+    const { writer, storeClock } = this.options;
     if (this.rows.get(workerId)?.workerStartedAtMs === workerStartedAtMs) return;
-    const endsAtStoreMs = this.options.storeClock.toStoreMs(endsAtMs, requestedAtMs);
+    // Without the store the row could not be removed either, and a lease that is withheld meanwhile would expire.
+    if (!writer.isValid() || writer.isStoreUnreachable()) return;
+    const endsAtStoreMs = storeClock.toStoreMs(endsAtMs, requestedAtMs);
     if (endsAtStoreMs === null) return;
     const row = { workerStartedAtMs, endsAtStoreMs };
     this.rows.set(workerId, row);
     this.removing.delete(workerId);
-    this.options.writer.stage({ ...leaseEndAddress(workerId), value: encodeLeaseEnd(row) });
+    writer.stage({ ...leaseEndAddress(workerId), value: encodeLeaseEnd(row) });
   }
 
-  /** Removes the row of a worker; once that is stored, its lease may be requested again and `onReleased` is called. */
-  release(workerId: string, onReleased: () => void = () => undefined): void {
+  /** Removes the row of a worker; once that is stored, its lease may be requested again. */
+  release(workerId: string): void {
     if (!this.rows.has(workerId) || this.removing.has(workerId)) return;
     this.removing.add(workerId);
     this.options.writer.stage({ ...leaseEndAddress(workerId), value: null });
     this.options.writer.afterCommit(() => {
-      if (!this.removing.delete(workerId)) return;
-      this.rows.delete(workerId);
-      onReleased();
+      if (this.removing.delete(workerId)) this.rows.delete(workerId);
     });
   }
 
--- a/placement/lost_run_log.ts
+++ b/placement/lost_run_log.ts
@@ -12,7 +12,7 @@
 /** How it is known that a run has ended. */
 export type LostRunReason =
   | 'lease expired'
-  | 'lease expired since the takeover'
+  | 'lease of an unregistered worker expired'
   | 'replaced by another incarnation'
   | 'stopped according to the platform';
 
@@ -46,7 +46,7 @@
     logger.info(LOG_EVENTS.runsLost, { workerId, reason, count: runs.length, examples: examplesOf(runs) });
   }
 
-  /** Records that a new leader waits for the end of runs whose workers are not registered. */
+  /** Records that the leader waits for the end of runs whose workers are not registered. */
   recordWaiting(runs: readonly TaskRun[], waitMs: number): void {
     const workerIds = new Set(runs.map(({ workerId }) => workerId));
     this.options.logger.info(LOG_EVENTS.runsAwaitExpiry, {
--- a/placement/placement_leader.ts
+++ b/placement/placement_leader.ts
@@ -6,13 +6,13 @@
 import { PLACEMENT_PARTITION, PROGRESS_TABLE } from '../scheduling/job_rows';
 import { UnusableRowError } from '../scheduling/platform_row_codec';
 import type { WorkerEntry } from '../scheduling/worker_entry';
-import type { ActiveRun, Rejection } from '../scheduling/worker_gateway';
+import type { ActiveRun } from '../scheduling/worker_gateway';
 import type { RowChange } from '../store/row_store';
 import { LOG_EVENTS } from '../telemetry/events_catalogue';
 import { evacuate } from './evacuation';
 import { createLeaderParts, type LeaderParts, type PlacementLeaderOptions } from './leader_parts';
 import { meanCapacity, poolUsage } from './leader_reporter';
-import { SessionListener, type ObservedEndedRun } from './session_listener';
+import { SessionListener, type ObservedEndedRun, type StartFailure } from './session_listener';
 import type { SessionRun } from './session_run';
 import { observedRuns } from './straggler_detection';
 import { stopStuckRuns } from './stuck_runs';
@@ -163,7 +163,7 @@
     for (const { task } of endedRuns) this.schedulePlanOfJob(task.jobId);
   }
 
-  override onStartRejected(session: WorkerSession, run: SessionRun, reason: Rejection | 'not_reached'): void {
+  override onStartRejected(session: WorkerSession, run: SessionRun, reason: StartFailure): void {
     this.options.counters.increment('placement.start_rejected', reason);
     this.options.logger.warn(LOG_EVENTS.startRejected, {
       jobId: run.task.jobId,
--- a/placement/placement_state.ts
+++ b/placement/placement_state.ts
@@ -96,8 +96,8 @@
   }
 
   /** Workers for which at least one run is recorded. */
-  workerIdsWithRuns(): readonly string[] {
-    return [...this.runsByWorker].flatMap(([workerId, runs]) => (runs.size > 0 ? [workerId] : []));
+  workerIdsWithRuns(): Iterable<string> {
+    return this.runsByWorker.keys();
   }
 
   runsOn(workerId: string): readonly RecordedRun[] {
@@ -146,6 +146,7 @@
     } else {
       this.occupancy.remove(occupying);
       runs.delete(key);
+      if (runs.size === 0) this.runsByWorker.delete(run.workerId);
     }
   }
 }
--- a/placement/session_listener.ts
+++ b/placement/session_listener.ts
@@ -11,6 +11,9 @@
   readonly startedAtMs: number | null;
 }
 
+/** Why a start did not take effect. `lease_withheld`: it would have requested a lease whose end is stored. */
+export type StartFailure = Rejection | 'not_reached' | 'lease_withheld';
+
 /** Receives the events of worker sessions. */
 export abstract class SessionListener {
   /** A worker rejected a command because a later leader has sent it a higher fencing token. */
@@ -18,8 +21,8 @@
   /** The worker has accepted this leader's fencing token and reported its runs. */
   abstract onReady(session: WorkerSession): void;
   abstract onRunsEnded(session: WorkerSession, endedRuns: readonly ObservedEndedRun[]): void;
-  /** A start was rejected; the run does not exist. */
-  abstract onStartRejected(session: WorkerSession, run: SessionRun, reason: Rejection | 'not_reached'): void;
+  /** A start was rejected, or not sent; the run does not exist. */
+  abstract onStartRejected(session: WorkerSession, run: SessionRun, reason: StartFailure): void;
   /** All runs of the worker count as ended because its lease has certainly expired; reported before each of them. */
   abstract onLeaseExpired(session: WorkerSession, runs: readonly SessionRun[]): void;
   /** The run no longer exists, and its outcome will never be known. */
--- a/placement/unrenewed_leases.ts
+++ b/placement/unrenewed_leases.ts
@@ -7,8 +7,11 @@
 import type { WorkerFleet } from './worker_fleet';
 import { WorkerLease } from './worker_lease';
 
-/** A worker whose calls have been failing for this long, in milliseconds, gets a row; shorter interruptions cost none. */
-const RECORD_AFTER_MS = 500;
+/**
+ * A worker whose calls have been failing for this long, in milliseconds, gets a row. It is
+ * longer than one lease call, so that a single command without a response costs no row.
+ */
+const RECORD_AFTER_MS = 2_500;
 
 export interface UnrenewedLeasesOptions {
   readonly clock: Clock;
@@ -68,16 +71,16 @@
     const workerStartedAtMs = Math.max(...runs.map((run) => run.workerStartedAtMs));
     this.reportLost(
       workerId,
-      runs.filter((run) => run.workerStartedAtMs !== workerStartedAtMs),
+      runs.filter((run) => !isOfIncarnation(run, workerStartedAtMs)),
       'replaced by another incarnation',
     );
     const known = this.awaited.get(workerId);
     const lease =
-      known?.workerStartedAtMs === workerStartedAtMs ? known : this.await(workerId, workerStartedAtMs);
-    const currentRuns = runs.filter((run) => run.workerStartedAtMs === workerStartedAtMs);
+      known?.workerStartedAtMs === workerStartedAtMs ? known : this.beginWaiting(workerId, workerStartedAtMs);
+    const currentRuns = runs.filter((run) => isOfIncarnation(run, workerStartedAtMs));
     if (clock.monotonicMs() >= lease.endsAtMs) {
       this.awaited.delete(workerId);
-      this.reportLost(workerId, currentRuns, 'lease expired since the takeover');
+      this.reportLost(workerId, currentRuns, 'lease of an unregistered worker expired');
       return;
     }
     if (this.options.isWorkerAbsent(workerId, lease.awaitedSinceMs)) {
@@ -89,7 +92,7 @@
     if (known !== lease) added.push(...currentRuns);
   }
 
-  private await(workerId: string, workerStartedAtMs: number): AwaitedLease {
+  private beginWaiting(workerId: string, workerStartedAtMs: number): AwaitedLease {
     const { clock, maxLeaseMs, leaseEnds } = this.options;
     const nowMs = clock.monotonicMs();
     const knownEndMs = leaseEnds.endOf(workerId, workerStartedAtMs);
@@ -110,13 +113,14 @@
   }
 
   private recordUnreachable(): void {
-    const { clock, fleet, leaseEnds } = this.options;
+    const { clock, fleet, state, leaseEnds } = this.options;
     const nowMs = clock.monotonicMs();
     for (const session of fleet.all()) {
       const sinceMs = session.unreachableSinceMs();
-      if (sinceMs === null || nowMs - sinceMs < RECORD_AFTER_MS || session.runCount() === 0) continue;
+      const { workerId } = session.worker;
+      if (sinceMs === null || nowMs - sinceMs < RECORD_AFTER_MS || state.runCountOn(workerId) === 0) continue;
       leaseEnds.record({
-        workerId: session.worker.workerId,
+        workerId,
         workerStartedAtMs: session.entry.startedAtMs,
         ...session.leaseTimes(),
       });
@@ -129,3 +133,8 @@
       this.options.onRunLost({ task, run, workerId, outcome: 'lost', checkpoint: '' });
   }
 }
+
+/** Whether a run may be of an incarnation; the start of its own one is 0 if it is not known. */
+function isOfIncarnation(run: TaskRun, workerStartedAtMs: number): boolean {
+  return run.workerStartedAtMs === workerStartedAtMs || run.workerStartedAtMs === 0;
+}
--- a/placement/worker_fleet.ts
+++ b/placement/worker_fleet.ts
@@ -161,8 +161,8 @@
       inherited: runs.filter(isOfIncarnation),
       knownLeaseEndMs: leaseEnds.endOf(workerId, startedAtMs),
       mayRequestLease: () => leaseEnds.mayRequest(workerId),
-      onLeaseWithheld: (onReleased) => {
-        leaseEnds.release(workerId, onReleased);
+      onLeaseWithheld: () => {
+        leaseEnds.release(workerId);
       },
     });
     this.addSession(session);
--- a/placement/worker_session.ts
+++ b/placement/worker_session.ts
@@ -7,12 +7,11 @@
   WorkerOutcomeUnknownError,
   type EndedRun,
   type LeaseResponse,
-  type Rejection,
   type ActiveRun,
   type WorkerAddress,
   type WorkerGateway,
 } from '../scheduling/worker_gateway';
-import type { SessionListener } from './session_listener';
+import type { SessionListener, StartFailure } from './session_listener';
 import {
   isUnresolved,
   newSessionRun,
@@ -26,7 +25,10 @@
 /** How long a lease call waits for a run to end, in milliseconds. */
 const LEASE_WAIT_MS = 1_500;
 
-/** Wait of a lease call while the leader follows the load or the start of long-running tasks, in milliseconds. */
+/**
+ * Wait of a lease call while the leader follows the load or the start of long-running
+ * tasks, or may not request the lease yet, in milliseconds.
+ */
 const FREQUENT_POLL_WAIT_MS = 300;
 
 /** Wait of a lease call while it is unknown whether some run exists, in milliseconds. */
@@ -59,8 +61,8 @@
   readonly knownLeaseEndMs: number | null;
   /** Whether the lease may be requested: not while its end is stored, since a successor would rely on it. */
   readonly mayRequestLease: () => boolean;
-  /** Called while the worker responds and the lease may not be requested; `onReleased` says that it may be again. */
-  readonly onLeaseWithheld: (onReleased: () => void) => void;
+  /** Called after each response while the lease may not be requested. */
+  readonly onLeaseWithheld: () => void;
 }
 
 /**
@@ -278,7 +280,7 @@
     const { gateway, fencingToken, listener } = this.options;
     // A start requests the lease as well.
     if (!this.options.mayRequestLease()) {
-      this.handleRejection(run, 'not_reached');
+      this.handleRejection(run, 'lease_withheld');
       return;
     }
     try {
@@ -312,7 +314,7 @@
     this.recordFailure();
   }
 
-  private handleRejection(run: SessionRun, reason: Rejection | 'not_reached'): void {
+  private handleRejection(run: SessionRun, reason: StartFailure): void {
     // The recorded failure makes this worker unusable for new tasks until a lease call succeeds.
     if (reason === 'not_reached' || reason === 'unhealthy') this.recordFailure();
     if (!this.removeRun(runKey(run))) return;
@@ -395,7 +397,7 @@
 
   private waitMs(): number {
     if (!this.hasAcceptedToken || this.failureCount > 0 || this.runs.size === 0) return 0;
-    if (!this.options.mayRequestLease()) return UNRESOLVED_WAIT_MS;
+    if (!this.options.mayRequestLease()) return FREQUENT_POLL_WAIT_MS;
     for (const run of this.runs.values()) if (isUnresolved(run)) return UNRESOLVED_WAIT_MS;
     return this.isPolledFrequently ? FREQUENT_POLL_WAIT_MS : LEASE_WAIT_MS;
   }
@@ -425,10 +427,7 @@
     if (response.ended.length < MAX_ENDED_RUNS && response.unusableEntries === 0)
       this.resolveMissingRuns(reportedKeys, sentAtMs);
     this.markReady();
-    if (!this.options.mayRequestLease())
-      this.options.onLeaseWithheld(() => {
-        this.wake();
-      });
+    if (!this.options.mayRequestLease()) this.options.onLeaseWithheld();
     listener.onProgress(this, response.running);
     return true;
   }
