Pause between lease calls while ends of runs cannot be acknowledged

A worker whose ended runs are stored and not acknowledged yet, while the leader may not act, was called again as soon as it had responded: such a call does not wait, since the worker has no runs. On a real deployment that is one call a round trip to each such worker while the store fails.

The test failed before with more than 200 calls at one moment of the virtual clock.

--- a/placement/worker_session.ts
+++ b/placement/worker_session.ts
@@ -222,6 +222,8 @@
       if (this.hasClosed()) return;
       if (!hasResponded) await this.sleep(RETRY_MS);
       else if (this.lastReportedEndNumber > this.recordedEndNumber) await this.sleep(RECORD_WAIT_MS);
+      // Ended runs cannot be acknowledged without the lease, and a call without runs does not wait.
+      else if (!this.options.mayAct() && this.runs.size === 0) await this.sleep(RETRY_MS);
     }
   }
 
