Allow for a slow clock of the worker when a lease is requested after an idle time

The worker's clock was extrapolated without its possible 2% from the last response, which may be minutes old for a worker without runs. A start that the worker carries out late could hold a lease beyond the time after which the run counts as ended.

Change: the request leaves out 2% of the elapsed time.

--- a/placement/worker_lease.ts
+++ b/placement/worker_lease.ts
@@ -59,7 +59,9 @@
     if (workerMs === null) return 0;
     this.lastRequestAtMs = nowMs;
     this.knownEndMs = null;
-    return workerMs + this.options.maxLeaseMs - REQUEST_MARGIN_MS;
+    // A slow clock of the worker shows less, and a request above its longest lease would outlast the expected end.
+    const driftMs = (nowMs - (this.clock?.atMs ?? nowMs)) * MAX_CLOCK_DRIFT;
+    return workerMs - driftMs + this.options.maxLeaseMs - REQUEST_MARGIN_MS;
   }
 
   /**
