Keep the process when a step of the placement leader fails

Callers saw: a process that ended, with all connections of its callers, because of an error in a timer of the placement leader.

Cause: the planning pass and the tick run from timers, and an error of theirs was an uncaught exception; an error while the leader loads the rows was an unhandled rejection. Uncaught exceptions were not logged as an event.

Change: after an unexpected error of a step the process stops as the leader (event 747, counter placement.step_failed) and serves callers further; another process takes the lease and reads the state anew, since a step that ended in the middle may have left it incomplete. After an error while loading, the lease is released. The last resort of the daemon logs both kinds of errors (event 103).

Evidence: the new test in placement/placement_leader_test.ts failed before with the injected RangeError.

Measured: npx jest placement telemetry daemon: 131 passed.

Conclusion: a fault of this kind costs a takeover, not a process. An error that every leader meets still keeps tasks from being placed; the decoders have to prevent that.

--- a/daemon/scheduler_main.ts
+++ b/daemon/scheduler_main.ts
@@ -22,11 +22,13 @@
   process.on('SIGHUP', () => {
     logger.info(LOG_EVENTS.settingsReloaded);
   });
-  process.on('unhandledRejection', (error) => {
+  const exitAfter = (error: unknown): void => {
     const reason = error instanceof Error ? error.stack : String(error);
     logger.error(LOG_EVENTS.turnFailed, { reason });
     process.exit(EXIT_FAILURE);
-  });
+  };
+  process.on('unhandledRejection', exitAfter);
+  process.on('uncaughtException', exitAfter);
   await kernel.start();
   logger.info(LOG_EVENTS.started, { nodeName: settings.nodeName });
   await stopRequested;
--- a/placement/placement_leader.ts
+++ b/placement/placement_leader.ts
@@ -279,14 +279,33 @@
       this.planTimer = null;
       const nowMs = clock.monotonicMs();
       this.parts.limiter.recordDelay(nowMs - dueAtMs, nowMs);
-      this.plan();
+      this.runStep(() => {
+        this.plan();
+      });
     });
   }
 
+  /**
+   * Runs a step that a timer began. After an unexpected error the state may be incomplete;
+   * this process stops as the leader, and the next leader reads the state anew.
+   */
+  private runStep(step: () => void): void {
+    try {
+      step();
+    } catch (error) {
+      const reason = error instanceof Error ? error.stack : String(error);
+      this.options.counters.increment('placement.step_failed');
+      this.options.logger.error(LOG_EVENTS.leaderStepFailed, { epoch: this.options.lease.row.epoch, reason });
+      this.loseLeadership('a step failed with an unexpected error');
+    }
+  }
+
   private tick(): void {
     if (this.isStopped) return;
     this.tickTimer = this.options.clock.schedule(TICK_MS, () => {
-      this.tick();
+      this.runStep(() => {
+        this.tick();
+      });
     });
     if (this.parts.writer.isStoreUnreachable()) this.options.onStoreUnreachable();
     if (!this.parts.writer.isValid()) this.parts.writer.renewSoon();
--- a/placement/placement_leader_test.ts
+++ b/placement/placement_leader_test.ts
@@ -104,6 +104,28 @@
     expect(harness.instances.commands).toContain('maintain m-w1 1');
   });
 
+  test('an unexpected error of a planning pass ends the leadership, not the process', async () => {
+    const harness = new PlacementHarness();
+    const worker = await harness.addWorker('w1');
+    const first = harness.process('a');
+    await first.run();
+    const { rules } = harness;
+    Object.defineProperty(harness, 'rules', {
+      configurable: true,
+      get: () => {
+        throw new RangeError('unexpected');
+      },
+    });
+    await harness.submit(JOB, [STEP]);
+    await harness.advance(300);
+    expect(first.leadershipLossCount).toBe(1);
+    expect(first.counters.snapshot().get('placement.step_failed')).toBe(1);
+    Object.defineProperty(harness, 'rules', { value: rules });
+    void harness.process('b').run();
+    await harness.advance(6_000);
+    expect(worker.starts).toEqual(['0.0.0#1']);
+  });
+
   test('an undecodable lease keeps all processes waiting and ends none', async () => {
     const harness = new PlacementHarness();
     const worker = await harness.addWorker('w1');
--- a/placement/placement_plugin.ts
+++ b/placement/placement_plugin.ts
@@ -146,10 +146,15 @@
     try {
       await leader.start();
     } catch (error) {
-      if (!isStoreFailure(error)) throw error;
-      kernel
-        .use(LOGGER)
-        .warn(LOG_EVENTS.leadershipLost, { reason: 'the store was unavailable while the jobs were loaded' });
+      const logger = kernel.use(LOGGER);
+      if (isStoreFailure(error)) {
+        const reason = 'the store was unavailable while the jobs were loaded';
+        logger.warn(LOG_EVENTS.leadershipLost, { reason });
+      } else {
+        const reason = error instanceof Error ? error.stack : String(error);
+        kernel.use(COUNTERS).increment('placement.step_failed');
+        logger.error(LOG_EVENTS.leaderStepFailed, { reason });
+      }
       await leader.release();
       onFailed();
     }
--- a/telemetry/events_catalogue.ts
+++ b/telemetry/events_catalogue.ts
@@ -62,6 +62,7 @@
   poolSummary: logEvent(724, 'pool summary'),
   rowHandlingFailed: logEvent(745, 'row handling failed'),
   tableReadFailed: logEvent(746, 'table read failed'),
+  leaderStepFailed: logEvent(747, 'leader step failed'),
   jobAccepted: logEvent(730, 'job accepted'),
   jobRejected: logEvent(731, 'job rejected'),
   settingsReloaded: logEvent(732, 'settings file read again'),
