Take the mean capacity of the workers that respond

Callers saw: too few instances for the demand.

Cause: the sizes of pools divide the demand by the mean capacity of all entries. One entry of a worker that does not exist, with the largest capacity that an entry may claim, makes the mean a hundred times too large.

Change: entries count once their worker has responded; while none responds, for example before the first answers to a new leader, all count as before.

--- a/placement/leader_reporter.ts
+++ b/placement/leader_reporter.ts
@@ -10,6 +10,7 @@
 import type { PoolDemandTracker, PoolUsage } from './pool_demand';
 import { encodeQueueStatus, queueStatusAddress } from './queue_status';
 import type { WorkerFleet } from './worker_fleet';
+import type { WorkerSession } from './worker_session';
 
 /**
  * Interval at which changed numbers of pending jobs are written, in milliseconds.
@@ -97,9 +98,13 @@
   return usageByPool;
 }
 
-/** Mean capacity of a worker. */
-export function meanCapacity(fleet: WorkerFleet): Resources {
-  const capacities = [...fleet.all()].map(({ entry }) => entry.capacity);
+/**
+ * Mean capacity of the workers that respond, or of all while none does. Entries of workers
+ * that do not exist may claim any capacity.
+ */
+export function meanCapacity(sessions: readonly Pick<WorkerSession, 'entry' | 'isReachable'>[]): Resources {
+  const reachable = sessions.filter((session) => session.isReachable());
+  const capacities = (reachable.length > 0 ? reachable : sessions).map(({ entry }) => entry.capacity);
   const total = capacities.reduce(addResources, NO_RESOURCES);
   return combineResources(total, NO_RESOURCES, (sum) => sum / Math.max(1, capacities.length));
 }
--- a/placement/placement_leader.ts
+++ b/placement/placement_leader.ts
@@ -342,7 +342,7 @@
     this.parts.placer.recordWaiting(rules, this.parts.workerTime.unixMs());
     this.parts.burstMemory.update(this.parts.instanceController.instancesByPool(rules));
     const capacity = {
-      meanCapacity: meanCapacity(this.parts.fleet),
+      meanCapacity: meanCapacity([...this.parts.fleet.all()]),
       instanceCount: this.parts.instanceController.instanceCount(),
     };
     this.parts.demand.update(rules, capacity, poolUsage(this.parts.fleet, this.parts.state));
