--- a/placement/placement_leader.ts
+++ b/placement/placement_leader.ts
@@ -284,14 +284,33 @@
       this.planTimer = null;
       const nowMs = clock.monotonicMs();
       this.parts.limiter.recordDelay(nowMs - dueAtMs, nowMs);
-      this.plan();
+      this.runStep(() => {
+        this.plan();
+      });
     });
   }
 
+  /**
+   * Runs a step that a timer began. After an unexpected error the state may be incomplete;
+   * this process stops as the leader, and the next leader reads the state anew.
+   */
+  private runStep(step: () => void): void {
+    try {
+      step();
+    } catch (error) {
+      const reason = error instanceof Error ? error.stack : String(error);
+      this.options.counters.increment('placement.step_failed');
+      this.options.logger.error(LOG_EVENTS.leaderStepFailed, { epoch: this.options.lease.row.epoch, reason });
+      this.loseLeadership('a step failed with an unexpected error');
+    }
+  }
+
   private tick(): void {
     if (this.isStopped) return;
     this.tickTimer = this.options.clock.schedule(TICK_MS, () => {
-      this.tick();
+      this.runStep(() => {
+        this.tick();
+      });
     });
     if (this.parts.writer.isStoreUnreachable()) this.options.onStoreUnreachable();
     if (!this.parts.writer.isValid()) this.parts.writer.renewSoon();
@@ -329,7 +348,7 @@
     this.parts.placer.recordWaiting(rules, this.parts.workerTime.unixMs());
     this.parts.burstMemory.update(this.parts.instanceController.instancesByPool(rules));
     const capacity = {
-      meanCapacity: meanCapacity(this.parts.fleet),
+      meanCapacity: meanCapacity([...this.parts.fleet.all()]),
       instanceCount: this.parts.instanceController.instanceCount(),
     };
     this.parts.demand.update(rules, capacity, poolUsage(this.parts.fleet, this.parts.state));
