Give up tasks that crash worker after worker

Cause: a run that is lost with its worker is no attempt, and nothing else counted the workers that crashed under a task, so that it started again at once, beside as many innocent tasks as fitted.

The fleet reports each crash before the runs are lost. A crash counts against the runs that had started last; one as the only suspect, after an earlier one, decides. Suspects start apart: nothing else starts on their worker for 150 ms, or longer after more crashes. A task that was only lost beside others is never given up. The counts are stored with the progress in a field that earlier versions ignore; an earlier version that becomes leader drops them.

cli/store_status_test.ts: its literal of a job's progress has the new field.

--- a/cli/store_status_test.ts
+++ b/cli/store_status_test.ts
@@ -64,7 +64,10 @@
         ...waveAddress(5),
         value: encodeWaveProgress({ begun: ['m1'], isCompleted: false, orderedAtMs: 1 }),
       },
-      { ...progressAddress('a'), value: encodeProgress({ state: 'running', tasks: new Map() }) },
+      {
+        ...progressAddress('a'),
+        value: encodeProgress({ state: 'running', tasks: new Map(), crashes: new Map() }),
+      },
       { ...jobAddress('a'), value: '{}' },
       { ...jobAddress('b'), value: '{}' },
     ]);
--- a/placement/_fake_worker_gateway.ts
+++ b/placement/_fake_worker_gateway.ts
@@ -146,6 +146,8 @@
 
 export class FakeWorkerGateway extends WorkerGateway {
   readonly workers = new Map<string, FakeWorker>();
+  /** Called after each applied start. */
+  afterStart: (worker: FakeWorker, command: StartCommand) => void = () => undefined;
 
   constructor(private readonly clock: Clock) {
     super();
@@ -167,7 +169,9 @@
       if (worker.lostStarts === 'applied') worker.start(command);
       throw new WorkerOutcomeUnknownError('The response was lost.');
     }
-    return worker.start(command);
+    const response = worker.start(command);
+    if (response.rejection === null) this.afterStart(worker, command);
+    return response;
   }
 
   override async stop(address: WorkerAddress, command: RunCommand): Promise<WorkerResponse> {
--- a/placement/_placement_harness.ts
+++ b/placement/_placement_harness.ts
@@ -152,6 +152,18 @@
     return worker;
   }
 
+  /** Crashes a worker; it is back under its id, as another incarnation, after `downMs`. */
+  crash(workerId: string, downMs = 3_000): void {
+    const worker = this.gateway.workers.get(workerId);
+    if (worker?.isReachable !== true) return;
+    worker.isReachable = false;
+    worker.runs.clear();
+    const { entry } = worker;
+    this.clock.schedule(downMs, () => {
+      void this.addWorker(workerId, { ...entry, startedAtMs: entry.startedAtMs + 1 });
+    });
+  }
+
   async register(entry: WorkerEntry): Promise<void> {
     await this.writeEntry(entry.workerId, JSON.stringify(entry));
   }
--- a/placement/instance_controller.ts
+++ b/placement/instance_controller.ts
@@ -163,7 +163,8 @@
       const { instanceId, workerId } = session.entry;
       if (!this.directory.hasWorkerStopped(instanceId, workerId, unreachableSinceMs)) continue;
       this.options.counters.increment('workers.gone');
-      this.options.fleet.retire(session);
+      const isPlanned = this.isDraining(session);
+      this.options.fleet.retire(session, isPlanned ? null : 'instance_stopped');
     }
   }
 
@@ -376,7 +377,7 @@
 
   /** Retires the worker that the platform has stopped; its registry entry stays listed for some seconds. */
   private retireWorkerOf(instanceId: string): void {
-    for (const session of this.options.fleet.onInstance(instanceId)) this.options.fleet.retire(session);
+    for (const session of this.options.fleet.onInstance(instanceId)) this.options.fleet.retire(session, null);
   }
 }
 
--- a/placement/leader_parts.ts
+++ b/placement/leader_parts.ts
@@ -25,8 +25,11 @@
 import { PlacementState } from './placement_state';
 import { PoolDemandTracker } from './pool_demand';
 import { RunResultHandler } from './run_result_handler';
+import { SuspectIsolation } from './suspect_isolation';
 import type { SessionListener } from './session_listener';
 import { TaskPlacer } from './task_placer';
+import type { WorkerCrash } from './worker_crash';
+import { WorkerCrashHandler } from './worker_crash_handler';
 import { WorkerFleet } from './worker_fleet';
 import { WorkerHealth } from './worker_health';
 import { WorkerTime } from './worker_time';
@@ -80,6 +83,8 @@
   readonly onFenced: (reason: string) => void;
   /** A run no longer exists, or its start was not sent. */
   readonly onRunLost: (result: RunResult) => void;
+  /** A worker has crashed; its runs are reported as lost after this. */
+  readonly onWorkerCrashed: (crash: WorkerCrash) => void;
   /** All pools have to be planned again. */
   readonly onPlanNeeded: () => void;
   /** A pool has to be planned again. */
@@ -93,6 +98,7 @@
   readonly fleet: WorkerFleet;
   readonly health: WorkerHealth;
   readonly resultHandler: RunResultHandler;
+  readonly crashHandler: WorkerCrashHandler;
   readonly limiter: StartLimiter;
   readonly demand: PoolDemandTracker;
   readonly burstMemory: BurstMemoryKeeper;
@@ -135,6 +141,7 @@
     maxLeaseMs: maxWorkerLeaseMs,
     mayAct: () => writer.isValid(),
     recordedRuns: (workerId) => state.runsOn(workerId),
+    onCrash: hooks.onWorkerCrashed,
     onRunLost,
   });
   const health = new WorkerHealth();
@@ -162,6 +169,14 @@
       hooks.onFenced('a command to an instance was fenced');
     },
   });
+  const isolation = new SuspectIsolation({ state, fleet });
+  const crashHandler = new WorkerCrashHandler({
+    ...options,
+    state,
+    fleet,
+    isolation,
+    isBeingStopped: (session) => instanceController.isDraining(session),
+  });
   const advice = new AdviceCache({ clock, advice: options.advice, counters, onResponse: onPlanNeeded });
   const placer = new TaskPlacer({
     ...options,
@@ -173,6 +188,7 @@
     demand,
     limiter,
     advice,
+    isolation,
     onNotSent: onRunLost,
   });
   const intake = new JobIntake({
@@ -211,6 +227,7 @@
     fleet,
     health,
     resultHandler,
+    crashHandler,
     limiter,
     demand,
     burstMemory,
--- a/placement/placement_leader.ts
+++ b/placement/placement_leader.ts
@@ -54,6 +54,9 @@
       onRunLost: (result) => {
         this.handleLostRun(result);
       },
+      onWorkerCrashed: (crash) => {
+        if (!this.isStopped) this.parts.crashHandler.handle(crash);
+      },
       onPlanNeeded: () => {
         this.schedulePlan();
       },
--- a/placement/placement_state.ts
+++ b/placement/placement_state.ts
@@ -38,6 +38,8 @@
   private readonly longRunningCounts = new Map<string, number>();
   /** Number of runs of fillers, by worker. */
   private readonly fillerCounts = new Map<string, number>();
+  /** Runs of tasks that are suspected of crashing their workers, by run key. */
+  private readonly runsOfSuspects = new Map<string, RecordedRun>();
 
   constructor(private readonly options: PlacementStateOptions) {
     const { clock, rules } = options;
@@ -99,6 +101,17 @@
     return [...(this.runsByWorker.get(workerId)?.values() ?? [])];
   }
 
+  /** Runs of tasks that were suspected of crashing their workers when they started. */
+  suspectRuns(): Iterable<RecordedRun> {
+    return this.runsOfSuspects.values();
+  }
+
+  /** The pool in which the tasks of a job run; `undefined` if the operator has removed its queue. */
+  poolOf(jobId: string): string | undefined {
+    const queueId = this.jobs.get(jobId)?.record.job.queueId;
+    return queueId === undefined ? undefined : this.options.rules()?.queues.get(queueId)?.poolId;
+  }
+
   /** Number of long-running tasks among the runs on a worker. */
   longRunningCountOn(workerId: string): number {
     return this.longRunningCounts.get(workerId) ?? 0;
@@ -136,11 +149,14 @@
       this.longRunningCounts.set(run.workerId, this.longRunningCountOn(run.workerId) + sign);
     if (occupying.step.isFiller) this.fillerCounts.set(run.workerId, this.fillerCountOn(run.workerId) + sign);
     if (sign === 1) {
+      const recorded = { ...run, record, key };
       this.occupancy.add(occupying);
-      runs.set(key, { ...run, record, key });
+      runs.set(key, recorded);
+      if (record.isSuspect(run.task)) this.runsOfSuspects.set(key, recorded);
     } else {
       this.occupancy.remove(occupying);
       runs.delete(key);
+      this.runsOfSuspects.delete(key);
     }
   }
 }
--- a/placement/pool_demand.ts
+++ b/placement/pool_demand.ts
@@ -149,8 +149,9 @@
     for (const [poolId, candidates] of byPool) {
       const demands = candidates
         .filter(
-          ({ slackMs, isLongRunning: isLongRunningStep }) =>
-            isLongRunningStep || slackMs > MIN_DEMAND_SLACK_MS,
+          // Tasks that lost their workers are late for that reason, and need more workers to start apart.
+          ({ slackMs, isLongRunning: isLongRunningStep, job }) =>
+            isLongRunningStep || slackMs > MIN_DEMAND_SLACK_MS || job.record.hasCrashes(),
         )
         .map(({ readyStep }) => multiply(occupiedBy(readyStep.definition), readyStep.waiting.length));
       this.waitingDemand.set(poolId, demands.reduce(addResources, NO_RESOURCES));
--- a/placement/session_run.ts
+++ b/placement/session_run.ts
@@ -14,6 +14,8 @@
   readonly phase: RunPhase;
   /** When the phase began, on the monotonic clock. */
   readonly phaseSinceMs: number;
+  /** When its start was sent, or when the session began if an earlier leader had sent it, on the monotonic clock. */
+  readonly sentAtMs: number;
   /** When the run was first reported or confirmed as running; `null` before that. */
   readonly startedAtMs: number | null;
   readonly progressPercent: number;
@@ -48,6 +50,7 @@
     run,
     phase,
     phaseSinceMs: nowMs,
+    sentAtMs: nowMs,
     startedAtMs: null,
     progressPercent: 0,
     progressAtMs: nowMs,
@@ -79,6 +82,7 @@
     run: run.run,
     phase,
     phaseSinceMs: run.phase === phase ? run.phaseSinceMs : nowMs,
+    sentAtMs: run.sentAtMs,
     startedAtMs: run.startedAtMs ?? nowMs,
     progressPercent: report.progressPercent,
     progressAtMs: hasProgressed ? nowMs : run.progressAtMs,
--- a/placement/task_placer.ts
+++ b/placement/task_placer.ts
@@ -4,7 +4,12 @@
 import type { FleetRules } from '../scheduling/fleet_rules';
 import { occupiedBy } from '../scheduling/job_definition';
 import type { RunResult, TaskRun } from '../scheduling/job_record';
-import { planPool, type Assignment, type PlanWorker } from '../scheduling/placement_planner';
+import {
+  planPool,
+  type Assignment,
+  type PlanRequest,
+  type PlanWorker,
+} from '../scheduling/placement_planner';
 import { SlackOrder } from '../scheduling/queue_order';
 import type { StartLimiter } from '../scheduling/start_limiter';
 import type { Counters } from '../telemetry/counters';
@@ -18,6 +23,7 @@
 import { buildPlanRequest, candidatesByPool, type Candidate } from './plan_request';
 import type { PoolDemandTracker } from './pool_demand';
 import { needsSpeculativeCopy, observedRuns } from './straggler_detection';
+import type { SuspectIsolation } from './suspect_isolation';
 import type { WorkerFleet } from './worker_fleet';
 import type { WorkerHealth } from './worker_health';
 import type { WorkerSession } from './worker_session';
@@ -41,6 +47,7 @@
   readonly advice: AdviceCache;
   readonly demand: PoolDemandTracker;
   readonly limiter: StartLimiter;
+  readonly isolation: SuspectIsolation;
   readonly rules: () => FleetRules | null;
   readonly counters: Counters;
   readonly logger: Logger;
@@ -99,27 +106,21 @@
     }
   }
 
-  private planPool(poolId: string, candidates: readonly Candidate[], rules: FleetRules, nowMs: number): void {
-    const { state, limiter, counters } = this.options;
-    const workers = this.workersOf(poolId);
-    const workerIds = workers.map(({ workerId }) => workerId);
-    const request = buildPlanRequest({
-      candidates,
-      workers,
-      order: this.order,
-      state,
-      rules,
-      nowMs,
-      maxStarts: limiter.available(nowMs),
-      allowedWorkers: (candidate) => this.allowedWorkers(candidate, workerIds),
-    });
-    const { assignments, unplaced, isLimitReached, isStartLimited } = planPool(request);
+  private planPool(poolId: string, waiting: readonly Candidate[], rules: FleetRules, nowMs: number): void {
+    const { limiter, counters, isolation } = this.options;
+    const { suspects, others: candidates } = isolation.separate(poolId, waiting, nowMs);
+    const areSuspectsWaiting = suspects.length > 0 && this.placeSuspects(poolId, suspects, rules, nowMs);
+    const workers = isolation.openWorkers(poolId, this.workersOf(poolId), nowMs);
+    const { assignments, unplaced, isLimitReached, isStartLimited } = planPool(
+      this.request(candidates, workers, rules, nowMs),
+    );
     limiter.take(assignments.length);
     if (isStartLimited) {
       counters.increment('placement.starts_deferred');
       this.isStartLimited = true;
     }
-    if (isLimitReached || isStartLimited) this.limitedPoolIds.add(poolId);
+    if (areSuspectsWaiting) this.isStartLimited = true;
+    if (isLimitReached || isStartLimited || areSuspectsWaiting) this.limitedPoolIds.add(poolId);
     else this.limitedPoolIds.delete(poolId);
     this.preemptForLongRunning(candidates, new Set(unplaced), poolId, nowMs);
     if (assignments.length === 0) return;
@@ -131,6 +132,51 @@
     this.sendAfterCommit(runs);
   }
 
+  private request(
+    candidates: readonly Candidate[],
+    workers: readonly PlanWorker[],
+    rules: FleetRules,
+    nowMs: number,
+  ): PlanRequest {
+    const { state, limiter } = this.options;
+    const workerIds = workers.map(({ workerId }) => workerId);
+    return buildPlanRequest({
+      candidates,
+      workers,
+      order: this.order,
+      state,
+      rules,
+      nowMs,
+      maxStarts: limiter.available(nowMs),
+      allowedWorkers: (candidate) => this.allowedWorkers(candidate, workerIds),
+    });
+  }
+
+  /** Places the tasks that are suspected of crashing their workers. Returns whether some of them wait. */
+  private placeSuspects(
+    poolId: string,
+    suspects: readonly Candidate[],
+    rules: FleetRules,
+    nowMs: number,
+  ): boolean {
+    const { isolation, limiter, counters, logger } = this.options;
+    return isolation.place({
+      poolId,
+      suspects: this.order.sort(suspects),
+      workers: this.workersOf(poolId),
+      nowMs,
+      plan: (suspect, workers) => planPool(this.request([suspect], workers, rules, nowMs)).assignments,
+      start: (suspect, assignments) => {
+        limiter.take(assignments.length);
+        counters.increment('placement.suspect_started', undefined, assignments.length);
+        const runs = assignments.map((assignment) => this.assign(suspect, assignment, assignments));
+        for (const [{ record }, { task, run, workerId }] of runs)
+          logger.info(LOG_EVENTS.suspectPlaced, { ...task, run, workerId, ...record.crashesOf(task) });
+        this.sendAfterCommit(runs);
+      },
+    });
+  }
+
   private allowedWorkers(
     { job, queue, readyStep }: Candidate,
     workerIds: readonly string[],
@@ -234,7 +280,10 @@
     if (job === undefined || queue?.advice !== null) return;
     const step = record.step(task.step);
     const demand = occupiedBy(step);
-    const destination = this.workersOf(queue.poolId).find(
+    if (record.isSuspect(task)) return;
+    const nowMs = this.options.clock.monotonicMs();
+    const workers = this.options.isolation.openWorkers(queue.poolId, this.workersOf(queue.poolId), nowMs);
+    const destination = workers.find(
       (worker) =>
         worker.workerId !== run.workerId &&
         worker.maxNewTasks > 0 &&
--- a/placement/worker_fleet.ts
+++ b/placement/worker_fleet.ts
@@ -3,8 +3,9 @@
 import type { RunResult, TaskRun } from '../scheduling/job_record';
 import type { WorkerEntry } from '../scheduling/worker_entry';
 import type { WorkerGateway } from '../scheduling/worker_gateway';
-import { WorkerLease } from './worker_lease';
 import { SessionListener } from './session_listener';
+import type { CrashSign, WorkerCrash } from './worker_crash';
+import { WorkerLease } from './worker_lease';
 import { WorkerSession } from './worker_session';
 
 /**
@@ -25,6 +26,8 @@
   readonly mayAct: () => boolean;
   /** Runs that are recorded for a worker. */
   readonly recordedRuns: (workerId: string) => readonly TaskRun[];
+  /** Called when a worker has crashed, before its runs are reported as lost. */
+  readonly onCrash: (crash: WorkerCrash) => void;
   /** Called when a run no longer exists and its outcome will never be known. */
   readonly onRunLost: (result: RunResult) => void;
 }
@@ -80,20 +83,28 @@
     else this.replace(session, entry);
   }
 
-  /** Closes the session of an incarnation that has been replaced and reports its runs as lost. */
-  remove(session: WorkerSession): void {
+  /**
+   * Closes the session of an incarnation that no longer exists and reports its runs as
+   * lost; `sign` is `null` if the incarnation was stopped as planned.
+   */
+  remove(session: WorkerSession, sign: CrashSign | null = 'restarted'): void {
     const { workerId } = session.worker;
     if (this.sessions.get(workerId) !== session) return;
     this.deleteSession(session);
     session.close();
-    this.reportLostRuns(this.options.recordedRuns(workerId));
+    const runs = this.options.recordedRuns(workerId);
+    if (sign !== null) this.reportCrash({ sign, entry: session.entry, session, runs });
+    this.reportLostRuns(runs);
   }
 
-  /** Closes the session of an incarnation that has certainly stopped and ignores its entry from now on. */
-  retire(session: WorkerSession): void {
+  /**
+   * Closes the session of an incarnation that has certainly stopped and ignores its entry
+   * from now on; `sign` is `null` if it was stopped as planned.
+   */
+  retire(session: WorkerSession, sign: CrashSign | null): void {
     const ignoredUntilMs = this.options.clock.monotonicMs() + IGNORE_ENTRY_MS;
     this.retired.set(session.worker.workerId, { startedAtMs: session.entry.startedAtMs, ignoredUntilMs });
-    this.remove(session);
+    this.remove(session, sign);
   }
 
   private isRetired({ workerId, startedAtMs }: WorkerEntry): boolean {
@@ -153,7 +164,8 @@
     this.addSession(session);
   }
 
-  private open(entry: WorkerEntry): void {
+  /** Opens a session; `replaced` is the closed one with an earlier incarnation. */
+  private open(entry: WorkerEntry, replaced: WorkerSession | null = null): void {
     const { clock, gateway, listener, fencingToken, maxLeaseMs, mayAct } = this.options;
     const runs = this.options.recordedRuns(entry.workerId);
     const isOfIncarnation = (run: TaskRun): boolean =>
@@ -170,14 +182,21 @@
     });
     this.addSession(session);
     // The runs of earlier incarnations under this id no longer exist.
-    this.reportLostRuns(runs.filter((run) => !isOfIncarnation(run)));
+    const lost = runs.filter((run) => !isOfIncarnation(run));
+    const sign = replaced === null ? 'takeover' : 'restarted';
+    this.reportCrash({ sign, entry: replaced?.entry ?? entry, session: replaced, runs: lost });
+    this.reportLostRuns(lost);
     void session.run();
   }
 
   private replace(session: WorkerSession, entry: WorkerEntry): void {
     this.deleteSession(session);
     session.close();
-    this.open(entry);
+    this.open(entry, session);
+  }
+
+  private reportCrash(crash: WorkerCrash): void {
+    if (crash.runs.length > 0) this.options.onCrash(crash);
   }
 
   private reportLostRuns(runs: readonly TaskRun[]): void {
--- /dev/null
+++ b/scheduling/crash_evidence.ts
@@ -0,0 +1,124 @@
+/** Judges which tasks may have crashed a worker, and when a task is given up. */
+
+/**
+ * Age from which a run is not suspected of a crash, in milliseconds. Without a limit,
+ * long-running tasks would be suspected for each failure of a machine.
+ */
+const SUSPECT_MS = 3_000;
+
+/**
+ * How long no other task starts on the worker of a suspect, by its number of crashes, in
+ * milliseconds. A task that crashes its worker mostly does so while it starts. The times
+ * grow, since one under which several workers have crashed may do so only after a while.
+ */
+const ISOLATION_MS: readonly number[] = [150, 150, 500];
+
+/** Difference of the ages of runs that may have started in either order, in milliseconds. */
+const START_JITTER_MS = 20;
+
+/** Number of crashes under a task, with it as a first suspect, of which the last one decides. */
+const MIN_CRASHES = 2;
+
+/** As {@link MIN_CRASHES}, for long-running tasks, whose loss no later job makes up for. */
+const MIN_CRASHES_LONG_RUNNING = 3;
+
+/** Number of crashes with a long-running task as the only suspect after which it is given up. */
+const MIN_SOLE_CRASHES_LONG_RUNNING = 2;
+
+/** Number of crashes as the only suspect that decide even if no start was confirmed. */
+const MAX_SOLE_CRASHES = 3;
+
+/** Crashes of workers for which a task is suspected. */
+export interface CrashCounts {
+  /** Workers that crashed after they had confirmed its start. */
+  readonly crashes: number;
+  /** Crashes for which it was a first suspect, also if its start was not confirmed. */
+  readonly firstCrashes: number;
+  /** Those of {@link firstCrashes} for which it was the only suspect. */
+  readonly soleCrashes: number;
+}
+
+export const NO_CRASHES: CrashCounts = { crashes: 0, firstCrashes: 0, soleCrashes: 0 };
+
+/**
+ * `cleared`: the run had outlived the time within which tasks crash their workers.
+ * `beside`: others had started after it. `shared`: a first suspect, as others may be.
+ * `sole`: the only one, and no other task had started since.
+ */
+export type Suspicion = 'cleared' | 'beside' | 'shared' | 'sole';
+
+/** A task, or a gang, that ran on a worker when it crashed. */
+export interface CrashedTask {
+  /** Identifies the task; the members of a gang are one. */
+  readonly unit: string;
+  /** Time since its latest start on the worker, in milliseconds. */
+  readonly ageMs: number;
+  /** How long it was isolated, in milliseconds; see {@link isolationMs}. */
+  readonly isolatedMs: number;
+  /** Whether the worker has confirmed the start; otherwise it may never have arrived. */
+  readonly isConfirmed: boolean;
+}
+
+/**
+ * Returns the suspicion of each task that ran on a worker when it crashed. The first
+ * suspects are those that had started last.
+ *
+ * @example
+ * ```ts
+ * const suspicions = judgeCrash([
+ *   { unit: 'a', ageMs: 12, isolatedMs: 150, isConfirmed: true },
+ *   { unit: 'b', ageMs: 900, isolatedMs: 150, isConfirmed: true },
+ * ]);
+ * suspicions.get('a'); // 'sole'
+ * ```
+ */
+export function judgeCrash(tasks: readonly CrashedTask[]): ReadonlyMap<string, Suspicion> {
+  const youngest = new Map<string, CrashedTask>();
+  for (const task of tasks)
+    if (task.ageMs < (youngest.get(task.unit)?.ageMs ?? Infinity)) youngest.set(task.unit, task);
+  const minAgeMs = Math.min(...tasks.map(({ ageMs }) => ageMs));
+  const isFirst = ({ ageMs }: CrashedTask): boolean => ageMs <= 2 * minAgeMs + START_JITTER_MS;
+  const firstCount = [...youngest.values()].filter(isFirst).length;
+  const suspicionOf = (task: CrashedTask): Suspicion => {
+    if (task.ageMs >= SUSPECT_MS) return 'cleared';
+    if (!isFirst(task)) return 'beside';
+    return firstCount === 1 && task.ageMs < task.isolatedMs ? 'sole' : 'shared';
+  };
+  return new Map([...youngest].map(([unit, task]) => [unit, suspicionOf(task)]));
+}
+
+/** Counts a crash. */
+export function withCrash(counts: CrashCounts, suspicion: Suspicion, isConfirmed: boolean): CrashCounts {
+  if (suspicion === 'cleared') return NO_CRASHES;
+  return {
+    crashes: counts.crashes + (isConfirmed ? 1 : 0),
+    firstCrashes: counts.firstCrashes + (suspicion === 'beside' ? 0 : 1),
+    soleCrashes: counts.soleCrashes + (suspicion === 'sole' ? 1 : 0),
+  };
+}
+
+/** Whether a task starts apart from others. One that ran beside first suspects once does not. */
+export function isSuspect({ crashes, firstCrashes }: CrashCounts): boolean {
+  return firstCrashes > 0 || crashes > 1;
+}
+
+/**
+ * Whether a task is given up after a crash that is part of the counts. Only a crash of
+ * which it was the only suspect decides, since it may have run beside the one to blame
+ * any number of times.
+ */
+export function isGivenUp(
+  { crashes, firstCrashes, soleCrashes }: CrashCounts,
+  suspicion: Suspicion,
+  isLongRunning: boolean,
+): boolean {
+  if (suspicion !== 'sole') return false;
+  if (soleCrashes >= MAX_SOLE_CRASHES) return true;
+  if (!isLongRunning) return Math.min(crashes, firstCrashes) >= MIN_CRASHES;
+  return crashes >= MIN_CRASHES_LONG_RUNNING && soleCrashes >= MIN_SOLE_CRASHES_LONG_RUNNING;
+}
+
+/** How long no other task may start on the worker of a suspect, in milliseconds. */
+export function isolationMs({ crashes, firstCrashes }: CrashCounts): number {
+  return ISOLATION_MS[Math.max(crashes, firstCrashes)] ?? SUSPECT_MS;
+}
--- a/scheduling/job_progress.ts
+++ b/scheduling/job_progress.ts
@@ -1,4 +1,5 @@
 /** Progress of a job, as it is stored. */
+import type { CrashCounts } from './crash_evidence';
 
 export type JobState = 'queued' | 'running' | 'completed' | 'failed' | 'cancelled';
 
@@ -38,9 +39,11 @@
   readonly state: JobState;
   /** Tasks that have been started at least once, by task key (`occurrence.step.index`). */
   readonly tasks: ReadonlyMap<string, TaskProgress>;
+  /** Crashes of workers under tasks, by task key; under a gang by that of its first member. */
+  readonly crashes: ReadonlyMap<string, CrashCounts>;
 }
 
-export const INITIAL_JOB_PROGRESS: JobProgress = { state: 'queued', tasks: new Map() };
+export const INITIAL_JOB_PROGRESS: JobProgress = { state: 'queued', tasks: new Map(), crashes: new Map() };
 
 export function isEnded(state: JobState): boolean {
   return state === 'completed' || state === 'failed' || state === 'cancelled';
--- a/scheduling/job_record.ts
+++ b/scheduling/job_record.ts
@@ -1,4 +1,12 @@
 /** A job with its progress, as the placement leader changes it. */
+import {
+  isGivenUp,
+  isSuspect,
+  NO_CRASHES,
+  withCrash,
+  type CrashCounts,
+  type Suspicion,
+} from './crash_evidence';
 import {
   isLongRunning,
   occurrenceCount,
@@ -64,6 +72,7 @@
   readonly job: AcceptedJob;
   private readonly maxAttempts: () => number;
   private readonly tasks: Map<string, TaskProgress>;
+  private readonly crashes: Map<string, CrashCounts>;
   /** Number of done tasks, by `occurrence.step`. */
   private readonly doneCounts = new Map<string, number>();
   /** Workers on which a task has failed, so that its next run is placed on another worker. */
@@ -77,6 +86,7 @@
     this.job = job;
     this.maxAttempts = maxAttempts;
     this.tasks = new Map(progress.tasks);
+    this.crashes = new Map(progress.crashes);
     this.currentState = progress.state;
     for (const [key, task] of this.tasks) {
       this.activeRunCount += task.runs.length;
@@ -91,7 +101,10 @@
   get progress(): JobProgress {
     // An ended job needs its tasks only while it still has runs.
     const needsTasks = !isEnded(this.currentState) || this.activeRunCount > 0;
-    return { state: this.currentState, tasks: needsTasks ? this.tasks : INITIAL_JOB_PROGRESS.tasks };
+    const state = this.currentState;
+    return needsTasks
+      ? { state, tasks: this.tasks, crashes: this.crashes }
+      : { ...INITIAL_JOB_PROGRESS, state };
   }
 
   /** Whether the job has ended and has no runs left. */
@@ -198,6 +211,9 @@
     this.cachedReadySteps = null;
     this.tasks.set(taskKey(result.task), { ...task, runs });
     if (result.checkpoint !== '') this.saveCheckpoint(result.task, result.checkpoint);
+    // A task that ends by itself does not crash its workers.
+    if (result.outcome === 'done' || result.outcome === 'failed')
+      this.crashes.delete(this.crashKey(result.task));
     if (result.outcome === 'done') this.markDone(result.task);
     if (result.outcome === 'failed') this.recordFailure(result);
     this.completeIfDone();
@@ -215,6 +231,40 @@
     return this.task(this.checkpointOwner(id)).checkpoint;
   }
 
+  /** Identifies what is suspected together when a worker crashes: a task, or a whole gang. */
+  crashUnit(id: Omit<TaskId, 'jobId'>): string {
+    return `${this.job.jobId}.${this.crashKey(id)}`;
+  }
+
+  /** Whether workers have crashed under a task of the job. */
+  hasCrashes(): boolean {
+    return this.crashes.size > 0;
+  }
+
+  /** Whether a task, or its gang, is suspected of crashing its workers. */
+  isSuspect(id: Omit<TaskId, 'jobId'>): boolean {
+    return isSuspect(this.crashesOf(id));
+  }
+
+  /** Crashes of workers under a task, or its gang. */
+  crashesOf(id: Omit<TaskId, 'jobId'>): CrashCounts {
+    return this.crashes.size === 0 ? NO_CRASHES : (this.crashes.get(this.crashKey(id)) ?? NO_CRASHES);
+  }
+
+  /**
+   * Counts a crash of a worker against a task, or its gang; `isConfirmed` says whether the
+   * worker had confirmed the start. Returns whether the job has failed for it.
+   */
+  recordCrash(id: Omit<TaskId, 'jobId'>, suspicion: Suspicion, isConfirmed: boolean): boolean {
+    const counts = withCrash(this.crashesOf(id), suspicion, isConfirmed);
+    if (suspicion === 'cleared') this.crashes.delete(this.crashKey(id));
+    else this.crashes.set(this.crashKey(id), counts);
+    if (isEnded(this.currentState) || !isGivenUp(counts, suspicion, this.step(id.step).isLongRunning))
+      return false;
+    this.currentState = 'failed';
+    return true;
+  }
+
   /** Cancels the job. Returns whether this changed its state. */
   cancel(): boolean {
     if (isEnded(this.currentState)) return false;
@@ -226,6 +276,10 @@
     return (this.doneCounts.get(`${occurrence}.${step}`) ?? 0) >= this.step(step).taskCount;
   }
 
+  private crashKey(id: Omit<TaskId, 'jobId'>): string {
+    return taskKey(this.step(id.step).isGang ? { ...id, index: 0 } : id);
+  }
+
   private checkpointOwner(id: Omit<TaskId, 'jobId'>): Omit<TaskId, 'jobId'> {
     return this.step(id.step).isGang ? { ...id, index: 0 } : id;
   }
--- a/scheduling/job_rows.ts
+++ b/scheduling/job_rows.ts
@@ -124,9 +124,11 @@
   encoding: z.literal(ENCODING_VERSION),
   state: z.enum(['queued', 'running', 'completed', 'failed', 'cancelled']),
   tasks: z.array(taskSchema).default([]),
+  // A field of its own, since versions that do not know it reject longer rows of tasks.
+  crashes: z.array(z.tuple([z.string(), z.int(), z.int(), z.int()])).default([]),
 });
 
-export function encodeProgress({ state, tasks }: JobProgress): string {
+export function encodeProgress({ state, tasks, crashes }: JobProgress): string {
   const rows = [...tasks].map(([key, task]) => [
     key,
     task.isDone ? 1 : 0,
@@ -136,13 +138,28 @@
     task.checkpoint,
     task.runs.map(({ run, workerId, workerStartedAtMs }) => [run, workerId, workerStartedAtMs]),
   ]);
-  return JSON.stringify({ encoding: ENCODING_VERSION, state, ...(rows.length > 0 ? { tasks: rows } : {}) });
+  const counts = [...crashes].map(([key, count]) => [
+    key,
+    count.crashes,
+    count.firstCrashes,
+    count.soleCrashes,
+  ]);
+  return JSON.stringify({
+    encoding: ENCODING_VERSION,
+    state,
+    ...(rows.length > 0 ? { tasks: rows } : {}),
+    ...(counts.length > 0 ? { crashes: counts } : {}),
+  });
 }
 
 /** Throws {@link RowFormatError}. */
 export function decodeProgress(value: string): JobProgress {
-  const { state, tasks } = decodeJsonRow(progressRowSchema, value);
-  return { state, tasks: new Map(tasks.map(decodeTask)) };
+  const { state, tasks, crashes } = decodeJsonRow(progressRowSchema, value);
+  const counts = crashes.map(
+    ([key, count, firstCrashes, soleCrashes]) =>
+      [key, { crashes: count, firstCrashes, soleCrashes }] as const,
+  );
+  return { state, tasks: new Map(tasks.map(decodeTask)), crashes: new Map(counts) };
 }
 
 function decodeTask(row: z.infer<typeof taskSchema>): readonly [string, TaskProgress] {
