Spread the starts while tasks crash workers

Cause: the planner packs tasks on few workers, so that each first crash of a deadly task took 10 to 18 others with it. Those lost beside it were then isolated as long as suspects, which closed most of the pool.

A task that ran beside first suspects once or twice is not isolated. Suspects use the whole pool while nothing else waits.

--- a/placement/suspect_isolation.ts
+++ b/placement/suspect_isolation.ts
@@ -5,14 +5,15 @@
  */
 import { retryDelayMs } from '../jobs/retry_policy';
 import { subtractResources, type Resources } from '../model/resources';
-import { isolationMs, type CrashCounts } from '../scheduling/crash_evidence';
+import { isolationMs, NO_CRASHES, quietMs, type CrashCounts } from '../scheduling/crash_evidence';
 import { occupiedBy } from '../scheduling/job_definition';
 import type { Assignment, PlanWorker } from '../scheduling/placement_planner';
+import { CrashAlert } from './crash_alert';
 import type { PlacementState, RecordedRun } from './placement_state';
 import type { Candidate } from './plan_request';
 import type { WorkerFleet } from './worker_fleet';
 
-/** Maximum fraction of a pool's workers on which suspects run apart, so that the other tasks go on. */
+/** Maximum fraction of a pool's workers on which suspects run apart while other tasks wait. */
 const MAX_ISOLATING_SHARE = 0.5;
 
 /** Maximum fraction of a pool's workers that take no new tasks because a suspect waits for one of them. */
@@ -35,6 +36,14 @@
   readonly others: readonly Candidate[];
 }
 
+export interface OpenWorkersOptions {
+  readonly poolId: string;
+  /** The tasks to place. */
+  readonly candidates: readonly Candidate[];
+  readonly workers: readonly PlanWorker[];
+  readonly nowMs: number;
+}
+
 /** Plans one suspect on the given workers. */
 export type SuspectPlanner = (suspect: Candidate, workers: readonly PlanWorker[]) => readonly Assignment[];
 
@@ -42,6 +51,8 @@
   readonly poolId: string;
   readonly suspects: readonly Candidate[];
   readonly workers: readonly PlanWorker[];
+  /** Whether tasks that are not suspected wait as well. */
+  readonly areOthersWaiting: boolean;
   readonly nowMs: number;
   readonly plan: SuspectPlanner;
   /** Records the planned starts of a suspect; called before the next one is planned. */
@@ -54,8 +65,20 @@
   /** Workers that take no new tasks because a suspect waits for one of them, by pool. */
   private readonly reserved = new Map<string, ReadonlySet<string>>();
 
+  private readonly alert = new CrashAlert();
+
   constructor(private readonly options: SuspectIsolationOptions) {}
 
+  /** Spreads the starts in a pool after a crash for which tasks are suspected. */
+  raiseAlert(poolId: string, nowMs: number): void {
+    this.alert.raise(poolId, nowMs);
+  }
+
+  /** Whether the starts in a pool are spread. */
+  isAlerted(poolId: string, nowMs: number): boolean {
+    return this.alert.isRaised(poolId, nowMs);
+  }
+
   /** Delays the next start of a task that was suspected more than once. */
   delayRetry(unit: string, { crashes }: CrashCounts, nowMs: number): void {
     if (crashes < 2) return;
@@ -78,20 +101,30 @@
   }
 
   /** The workers on which tasks that are not suspected may start. */
-  openWorkers(poolId: string, workers: readonly PlanWorker[], nowMs: number): readonly PlanWorker[] {
+  openWorkers({ poolId, candidates, workers, nowMs }: OpenWorkersOptions): readonly PlanWorker[] {
     const isolating = this.isolatingWorkers(nowMs);
     const reserved = this.reserved.get(poolId);
-    if (isolating.size === 0 && reserved === undefined) return workers;
-    return workers.filter(({ workerId }) => !isolating.has(workerId) && reserved?.has(workerId) !== true);
+    const isAlerted = this.alert.isRaised(poolId, nowMs);
+    if (isolating.size === 0 && reserved === undefined && !isAlerted) return workers;
+    const open = workers.filter(
+      ({ workerId }) => !isolating.has(workerId) && reserved?.has(workerId) !== true,
+    );
+    if (!isAlerted) return open;
+    return this.alert.limit(open, candidates, (workerId) => this.startingCount(workerId, nowMs));
+  }
+
+  private startingCount(workerId: string, nowMs: number): number {
+    const startupMs = isolationMs(NO_CRASHES);
+    return this.options.state.runsOn(workerId).filter((run) => this.ageMs(run, nowMs) < startupMs).length;
   }
 
   /**
    * Starts as many suspects as there are workers for, and reserves workers for others.
    * Returns whether some suspects wait.
    */
-  place({ poolId, suspects, workers, nowMs, plan, start }: SuspectRound): boolean {
+  place({ poolId, suspects, workers, areOthersWaiting, nowMs, plan, start }: SuspectRound): boolean {
     const isolating = this.isolatingWorkers(nowMs);
-    const maxIsolating = Math.ceil(workers.length * MAX_ISOLATING_SHARE);
+    const maxIsolating = areOthersWaiting ? Math.ceil(workers.length * MAX_ISOLATING_SHARE) : workers.length;
     let open = this.emptiestFirst(poolId, workers).filter(({ workerId }) => !isolating.has(workerId));
     const unplaced: Candidate[] = [];
     for (const suspect of longRunningFirst(suspects)) {
@@ -143,7 +176,7 @@
     workers: readonly PlanWorker[],
     nowMs: number,
   ): readonly PlanWorker[] {
-    const minAgeMs = isolationMs(job.record.crashesOf({ occurrence, step, index: waiting[0] ?? 0 }));
+    const minAgeMs = quietMs(job.record.crashesOf({ occurrence, step, index: waiting[0] ?? 0 }));
     return workers.filter(({ workerId }) =>
       this.options.state.runsOn(workerId).every((run) => this.ageMs(run, nowMs) >= minAgeMs),
     );
--- a/placement/task_placer.ts
+++ b/placement/task_placer.ts
@@ -109,18 +109,22 @@
   private planPool(poolId: string, waiting: readonly Candidate[], rules: FleetRules, nowMs: number): void {
     const { limiter, counters, isolation } = this.options;
     const { suspects, others: candidates } = isolation.separate(poolId, waiting, nowMs);
-    const areSuspectsWaiting = suspects.length > 0 && this.placeSuspects(poolId, suspects, rules, nowMs);
-    const workers = isolation.openWorkers(poolId, this.workersOf(poolId), nowMs);
-    const { assignments, unplaced, isLimitReached, isStartLimited } = planPool(
-      this.request(candidates, workers, rules, nowMs),
-    );
+    const areSuspectsWaiting =
+      suspects.length > 0 && this.placeSuspects(poolId, suspects, candidates.length > 0, rules, nowMs);
+    const workers = isolation.openWorkers({ poolId, candidates, workers: this.workersOf(poolId), nowMs });
+    const spreadsTasks = isolation.isAlerted(poolId, nowMs);
+    const { assignments, unplaced, isLimitReached, isStartLimited } = planPool({
+      ...this.request(candidates, workers, rules, nowMs),
+      spreadsTasks,
+    });
     limiter.take(assignments.length);
     if (isStartLimited) {
       counters.increment('placement.starts_deferred');
       this.isStartLimited = true;
     }
-    if (areSuspectsWaiting) this.isStartLimited = true;
-    if (isLimitReached || isStartLimited || areSuspectsWaiting) this.limitedPoolIds.add(poolId);
+    const isSpread = spreadsTasks && unplaced.length > 0;
+    if (areSuspectsWaiting || isSpread) this.isStartLimited = true;
+    if (isLimitReached || isStartLimited || areSuspectsWaiting || isSpread) this.limitedPoolIds.add(poolId);
     else this.limitedPoolIds.delete(poolId);
     this.preemptForLongRunning(candidates, new Set(unplaced), poolId, nowMs);
     if (assignments.length === 0) return;
@@ -156,6 +160,7 @@
   private placeSuspects(
     poolId: string,
     suspects: readonly Candidate[],
+    areOthersWaiting: boolean,
     rules: FleetRules,
     nowMs: number,
   ): boolean {
@@ -164,6 +169,7 @@
       poolId,
       suspects: this.order.sort(suspects),
       workers: this.workersOf(poolId),
+      areOthersWaiting,
       nowMs,
       plan: (suspect, workers) => planPool(this.request([suspect], workers, rules, nowMs)).assignments,
       start: (suspect, assignments) => {
@@ -282,7 +288,13 @@
     const demand = occupiedBy(step);
     if (record.isSuspect(task)) return;
     const nowMs = this.options.clock.monotonicMs();
-    const workers = this.options.isolation.openWorkers(queue.poolId, this.workersOf(queue.poolId), nowMs);
+    const { poolId } = queue;
+    const workers = this.options.isolation.openWorkers({
+      poolId,
+      candidates: [],
+      workers: this.workersOf(poolId),
+      nowMs,
+    });
     const destination = workers.find(
       (worker) =>
         worker.workerId !== run.workerId &&
--- a/placement/worker_crash_handler.ts
+++ b/placement/worker_crash_handler.ts
@@ -57,6 +57,9 @@
       const { unit, isConfirmed } = lostRun;
       if (isConfirmed || !lostByUnit.has(unit)) lostByUnit.set(unit, lostRun);
     }
+    const { isolation, clock } = this.options;
+    if ([...suspicions.values()].some((suspicion) => suspicion !== 'cleared'))
+      isolation.raiseAlert(crash.entry.poolId, clock.monotonicMs());
     for (const [unit, lostRun] of lostByUnit) this.count(lostRun, suspicions.get(unit) ?? 'cleared');
   }
 
--- a/scheduling/crash_evidence.ts
+++ b/scheduling/crash_evidence.ts
@@ -7,12 +7,21 @@
 const SUSPECT_MS = 3_000;
 
 /**
- * How long no other task starts on the worker of a suspect, by its number of crashes, in
- * milliseconds. A task that crashes its worker mostly does so while it starts. The times
- * grow, since one under which several workers have crashed may do so only after a while.
+ * How long no other task starts on the worker of a suspect, by the number of crashes with
+ * it as a first suspect, in milliseconds. A task that crashes its worker mostly does so
+ * while it starts.
  */
 const ISOLATION_MS: readonly number[] = [150, 150, 500];
 
+/**
+ * Number of crashes from which a task is isolated for {@link SUSPECT_MS}, whatever started
+ * after it: it may crash its workers only after a while.
+ */
+const MANY_CRASHES = 3;
+
+/** Minimum age of the other runs on the worker of such a task, in milliseconds. */
+const MAX_QUIET_MS = 1_000;
+
 /** Difference of the ages of runs that may have started in either order, in milliseconds. */
 const START_JITTER_MS = 20;
 
@@ -97,9 +106,9 @@
   };
 }
 
-/** Whether a task starts apart from others. One that ran beside first suspects once does not. */
+/** Whether a task starts apart from others. One that ran beside first suspects once or twice does not. */
 export function isSuspect({ crashes, firstCrashes }: CrashCounts): boolean {
-  return firstCrashes > 0 || crashes > 1;
+  return firstCrashes > 0 || crashes >= MANY_CRASHES;
 }
 
 /**
@@ -120,5 +129,14 @@
 
 /** How long no other task may start on the worker of a suspect, in milliseconds. */
 export function isolationMs({ crashes, firstCrashes }: CrashCounts): number {
-  return ISOLATION_MS[Math.max(crashes, firstCrashes)] ?? SUSPECT_MS;
+  if (crashes >= MANY_CRASHES) return SUSPECT_MS;
+  return ISOLATION_MS[firstCrashes] ?? SUSPECT_MS;
+}
+
+/**
+ * Minimum age of all runs on a worker before a suspect starts there, in milliseconds, so
+ * that they are not suspected of its crash.
+ */
+export function quietMs(counts: CrashCounts): number {
+  return Math.min(MAX_QUIET_MS, isolationMs(counts));
 }
--- a/scheduling/placement_planner.ts
+++ b/scheduling/placement_planner.ts
@@ -48,6 +48,8 @@
   readonly teamHeadroom: TeamHeadroom;
   /** Maximum number of tasks to place, without limit if absent; gangs and long-running steps are exempt. */
   readonly maxStarts?: number;
+  /** Whether tasks are spread over the workers, instead of packed on few, so that a crash takes few with it. */
+  readonly spreadsTasks?: boolean;
 }
 
 export interface Assignment {
@@ -99,9 +101,11 @@
   private isLimitReached = false;
   private isStartLimited = false;
   private remainingStarts: number;
+  private readonly spreadsTasks: boolean;
 
-  constructor({ workers, teamHeadroom, maxStarts = Infinity }: PlanRequest) {
+  constructor({ workers, teamHeadroom, maxStarts = Infinity, spreadsTasks = false }: PlanRequest) {
     this.remainingStarts = maxStarts;
+    this.spreadsTasks = spreadsTasks;
     this.workers = new Map(workers.map((worker) => [worker.workerId, worker]));
     this.teamHeadroom = new Map(teamHeadroom);
   }
@@ -179,7 +183,7 @@
       hasFreeWorker = true;
       if (rack !== null && worker.rack !== rack) continue;
       if (!canRun(worker, step, counts)) continue;
-      const cost = placementCost(worker, step, counts, demand);
+      const cost = placementCost(worker, step, counts, demand, this.spreadsTasks);
       if (cost < bestCost) [best, bestCost] = [worker, cost];
     }
     if (!hasFreeWorker) this.unplaceableDemands.push(demand);
@@ -244,17 +248,20 @@
 
 /**
  * Cost of a task on a worker; the worker with the lowest cost is chosen. Short tasks
- * are packed on few workers, so that others become idle; long-running tasks are spread.
+ * are packed on few workers, so that others become idle, unless `spreadsTasks`;
+ * long-running tasks are spread.
  */
 function placementCost(
   worker: PlanWorker,
   { definition, failedWorkerIds, runsByWorker }: PlanStep,
   counts: ReadonlyMap<string, number>,
   demand: Resources,
+  spreadsTasks: boolean,
 ): number {
   if (definition.isFiller)
     return fillerCost(worker, counts) + (worker.isDueForMaintenance ? MAINTENANCE_DUE_COST : 0);
-  const remaining = dominantShare(subtractResources(worker.free, demand), worker.capacity);
+  const remainingShare = dominantShare(subtractResources(worker.free, demand), worker.capacity);
+  const remaining = spreadsTasks ? -remainingShare : remainingShare;
   const remote = definition.dataRack !== null && definition.dataRack !== worker.rack ? REMOTE_COST : 0;
   const failed = failedWorkerIds.has(worker.workerId) ? FAILED_WORKER_COST : 0;
   const together = definition.isLongRunning ? (counts.get(worker.workerId) ?? 0) * SAME_WORKER_COST : 0;
