Check a worker's capacity again before a recorded start is sent

Cause: a start is planned by the capacity of that moment, recorded, and sent once the record is stored, which takes some hundred milliseconds with a slow store. The capacity was not compared again. Besides, a long-running task that found no room could have runs stopped on a worker over its capacity, where more have to stop than make room for it.

A start is sent only if all that is recorded on the worker, runs that are being stopped included, fits into the capacity that its entry shows now; otherwise the task is planned again. Runs are preempted on workers over their capacity last. Event 744 logs each change of a capacity.

--- a/placement/placement_leader.ts
+++ b/placement/placement_leader.ts
@@ -9,6 +9,7 @@
 import type { ActiveRun, Rejection } from '../scheduling/worker_gateway';
 import type { RowChange } from '../store/row_store';
 import { LOG_EVENTS } from '../telemetry/events_catalogue';
+import { logCapacityChange } from './capacity_changes';
 import { evacuate } from './evacuation';
 import { createLeaderParts, type LeaderParts, type PlacementLeaderOptions } from './leader_parts';
 import { meanCapacity, poolUsage } from './leader_reporter';
@@ -236,7 +237,11 @@
         if (!listedIds.has(worker.workerId)) this.parts.fleet.update(worker.workerId, null);
       }
     }
-    for (const { key, value } of changes) this.parts.fleet.update(key, this.decodeEntry(key, value));
+    for (const { key, value } of changes) {
+      const entry = this.decodeEntry(key, value);
+      logCapacityChange(this.parts.fleet.get(key), entry, { ...this.options, state: this.parts.state });
+      this.parts.fleet.update(key, entry);
+    }
     this.schedulePlan();
   }
 
--- a/placement/task_placer.ts
+++ b/placement/task_placer.ts
@@ -1,6 +1,6 @@
 /** Plans where waiting tasks run, records the starts, and sends them once they are stored. */
 import type { Clock } from '../kernel/clock';
-import { addResources, fitsInto, subtractResources, type Resources } from '../model/resources';
+import { addResources, fitsInto, NO_RESOURCES, subtractResources, type Resources } from '../model/resources';
 import type { FleetRules } from '../scheduling/fleet_rules';
 import { occupiedBy } from '../scheduling/job_definition';
 import type { RunResult, TaskRun } from '../scheduling/job_record';
@@ -264,7 +264,10 @@
     const session = fleet.get(run.workerId);
     const isSameReadyWorker =
       session?.entry.startedAtMs === run.workerStartedAtMs && session.entry.state === 'ready';
-    if (!isSameReadyWorker || !writer.isValid() || !state.shouldStart(record, run)) {
+    // The capacity may have shrunk since the start was planned.
+    const hasRoom =
+      session !== undefined && fitsInto(state.occupancy.onWorker(run.workerId), session.entry.capacity);
+    if (!isSameReadyWorker || !hasRoom || !writer.isValid() || !state.shouldStart(record, run)) {
       this.options.onNotSent({ ...run, outcome: 'lost', checkpoint: '' });
       return;
     }
@@ -363,7 +366,9 @@
   private preempt({ readyStep, priority, queue }: Candidate, poolId: string): void {
     const { fleet, counters, logger } = this.options;
     const demand = occupiedBy(readyStep.definition);
-    for (const { workerId, free, labels } of this.workersOf(poolId)) {
+    // On a worker over its capacity, more runs would have to stop than make room for the task.
+    const workers = [...this.workersOf(poolId)].sort((a, b) => Number(isOverfull(a)) - Number(isOverfull(b)));
+    for (const { workerId, free, labels } of workers) {
       const session = fleet.get(workerId);
       const { requiredLabel } = readyStep.definition;
       if (session === undefined || (requiredLabel !== null && !labels.includes(requiredLabel))) continue;
@@ -409,6 +414,10 @@
   }
 }
 
+function isOverfull({ free }: PlanWorker): boolean {
+  return !fitsInto(NO_RESOURCES, free);
+}
+
 function withReserve(demand: Resources, capacity: Resources): Resources {
   return { ...demand, processors: demand.processors + capacity.processors * SPECULATION_RESERVE };
 }
--- a/telemetry/events_catalogue.ts
+++ b/telemetry/events_catalogue.ts
@@ -63,6 +63,7 @@
   workerCrashed: logEvent(741, 'worker crashed'),
   taskGivenUp: logEvent(742, 'task given up after worker crashes'),
   suspectPlaced: logEvent(743, 'suspected task placed apart'),
+  workerCapacityChanged: logEvent(744, 'worker capacity changed'),
   jobAccepted: logEvent(730, 'job accepted'),
   jobRejected: logEvent(731, 'job rejected'),
   settingsReloaded: logEvent(732, 'settings file read again'),
