--- a/placement/instance_controller.ts
+++ b/placement/instance_controller.ts
@@ -172,7 +172,8 @@
       this.logUnreachable(session);
       if (!this.directory.hasWorkerStopped(instanceId, workerId, unreachableSinceMs)) continue;
       this.options.counters.increment('workers.gone');
-      this.options.fleet.retire(session);
+      const isPlanned = this.isDraining(session);
+      this.options.fleet.retire(session, isPlanned ? null : 'instance_stopped');
     }
   }
 
@@ -399,7 +400,7 @@
 
   /** Retires the worker that the platform has stopped; its registry entry stays listed for some seconds. */
   private retireWorkerOf(instanceId: string): void {
-    for (const session of this.options.fleet.onInstance(instanceId)) this.options.fleet.retire(session);
+    for (const session of this.options.fleet.onInstance(instanceId)) this.options.fleet.retire(session, null);
   }
 }
 
--- a/placement/leader_parts.ts
+++ b/placement/leader_parts.ts
@@ -29,9 +29,12 @@
 import { PlacementState } from './placement_state';
 import { PoolDemandTracker } from './pool_demand';
 import { RunResultHandler } from './run_result_handler';
+import { SuspectIsolation } from './suspect_isolation';
 import type { SessionListener } from './session_listener';
 import { TaskPlacer } from './task_placer';
 import { UnrenewedLeases } from './unrenewed_leases';
+import type { WorkerCrash } from './worker_crash';
+import { WorkerCrashHandler } from './worker_crash_handler';
 import { WorkerFleet } from './worker_fleet';
 import { WorkerHealth } from './worker_health';
 import { WorkerTime } from './worker_time';
@@ -85,6 +88,8 @@
   readonly onFenced: (reason: string) => void;
   /** A run no longer exists, or its start was not sent. */
   readonly onRunLost: (result: RunResult) => void;
+  /** A worker has crashed; its runs are reported as lost after this. */
+  readonly onWorkerCrashed: (crash: WorkerCrash) => void;
   /** All pools have to be planned again. */
   readonly onPlanNeeded: () => void;
   /** A pool has to be planned again. */
@@ -101,6 +106,7 @@
   readonly unrenewedLeases: UnrenewedLeases;
   readonly health: WorkerHealth;
   readonly resultHandler: RunResultHandler;
+  readonly crashHandler: WorkerCrashHandler;
   readonly limiter: StartLimiter;
   readonly demand: PoolDemandTracker;
   readonly burstMemory: BurstMemoryKeeper;
@@ -149,6 +155,7 @@
     maxLeaseMs: maxWorkerLeaseMs,
     mayAct: () => writer.isValid(),
     recordedRuns: (workerId) => state.runsOn(workerId),
+    onCrash: hooks.onWorkerCrashed,
     onRunLost,
   });
   const health = new WorkerHealth();
@@ -186,6 +193,14 @@
     isWorkerAbsent: (workerId, sinceMs) => instanceController.isWorkerAbsent(workerId, sinceMs),
     onRunLost,
   });
+  const isolation = new SuspectIsolation({ state, fleet });
+  const crashHandler = new WorkerCrashHandler({
+    ...options,
+    state,
+    fleet,
+    isolation,
+    isBeingStopped: (session) => instanceController.isDraining(session),
+  });
   const advice = new AdviceCache({ clock, advice: options.advice, counters, onResponse: onPlanNeeded });
   const placer = new TaskPlacer({
     ...options,
@@ -197,6 +212,7 @@
     demand,
     limiter,
     advice,
+    isolation,
     onNotSent: onRunLost,
   });
   const intake = new JobIntake({
@@ -241,6 +257,7 @@
     unrenewedLeases,
     health,
     resultHandler,
+    crashHandler,
     limiter,
     demand,
     burstMemory,
--- a/placement/odd_stored_rows_test.ts
+++ b/placement/odd_stored_rows_test.ts
@@ -15,7 +15,7 @@
 function storedProgress(key: string): string {
   const runs = [{ run: 1, workerId: 'w1', workerStartedAtMs: 1 }];
   const task = { ...INITIAL_TASK_PROGRESS, lastRun: 1, runs };
-  return encodeProgress({ state: 'running', tasks: new Map([[key, task]]) });
+  return encodeProgress({ state: 'running', tasks: new Map([[key, task]]), crashes: new Map() });
 }
 
 const VALID = storedJob({});
--- a/placement/task_placer.ts
+++ b/placement/task_placer.ts
@@ -1,10 +1,15 @@
 /** Plans where waiting tasks run, records the starts, and sends them once they are stored. */
 import type { Clock } from '../kernel/clock';
-import { addResources, fitsInto, subtractResources, type Resources } from '../model/resources';
+import { addResources, fitsInto, NO_RESOURCES, subtractResources, type Resources } from '../model/resources';
 import type { FleetRules } from '../scheduling/fleet_rules';
 import { occupiedBy } from '../scheduling/job_definition';
 import type { RunResult, TaskRun } from '../scheduling/job_record';
-import { planPool, type Assignment, type PlanWorker } from '../scheduling/placement_planner';
+import {
+  planPool,
+  type Assignment,
+  type PlanRequest,
+  type PlanWorker,
+} from '../scheduling/placement_planner';
 import { SlackOrder } from '../scheduling/queue_order';
 import type { StartLimiter } from '../scheduling/start_limiter';
 import type { Counters } from '../telemetry/counters';
@@ -18,6 +23,7 @@
 import { buildPlanRequest, candidatesByPool, type Candidate } from './plan_request';
 import type { PoolDemandTracker } from './pool_demand';
 import { needsSpeculativeCopy, observedRuns } from './straggler_detection';
+import type { SuspectIsolation } from './suspect_isolation';
 import type { WorkerFleet } from './worker_fleet';
 import type { WorkerHealth } from './worker_health';
 import type { WorkerSession } from './worker_session';
@@ -41,6 +47,7 @@
   readonly advice: AdviceCache;
   readonly demand: PoolDemandTracker;
   readonly limiter: StartLimiter;
+  readonly isolation: SuspectIsolation;
   readonly rules: () => FleetRules | null;
   readonly counters: Counters;
   readonly logger: Logger;
@@ -99,27 +106,25 @@
     }
   }
 
-  private planPool(poolId: string, candidates: readonly Candidate[], rules: FleetRules, nowMs: number): void {
-    const { state, limiter, counters } = this.options;
-    const workers = this.workersOf(poolId);
-    const workerIds = workers.map(({ workerId }) => workerId);
-    const request = buildPlanRequest({
-      candidates,
-      workers,
-      order: this.order,
-      state,
-      rules,
-      nowMs,
-      maxStarts: limiter.available(nowMs),
-      allowedWorkers: (candidate) => this.allowedWorkers(candidate, workerIds),
+  private planPool(poolId: string, waiting: readonly Candidate[], rules: FleetRules, nowMs: number): void {
+    const { limiter, counters, isolation } = this.options;
+    const { suspects, others: candidates } = isolation.separate(poolId, waiting, nowMs);
+    const areSuspectsWaiting =
+      suspects.length > 0 && this.placeSuspects(poolId, suspects, candidates.length > 0, rules, nowMs);
+    const workers = isolation.openWorkers({ poolId, candidates, workers: this.workersOf(poolId), nowMs });
+    const spreadsTasks = isolation.isAlerted(poolId, nowMs);
+    const { assignments, unplaced, isLimitReached, isStartLimited } = planPool({
+      ...this.request(candidates, workers, rules, nowMs),
+      spreadsTasks,
     });
-    const { assignments, unplaced, isLimitReached, isStartLimited } = planPool(request);
     limiter.take(assignments.length);
     if (isStartLimited) {
       counters.increment('placement.starts_deferred');
       this.isStartLimited = true;
     }
-    if (isLimitReached || isStartLimited) this.limitedPoolIds.add(poolId);
+    const isSpread = spreadsTasks && unplaced.length > 0;
+    if (areSuspectsWaiting || isSpread) this.isStartLimited = true;
+    if (isLimitReached || isStartLimited || areSuspectsWaiting || isSpread) this.limitedPoolIds.add(poolId);
     else this.limitedPoolIds.delete(poolId);
     this.preemptForLongRunning(candidates, new Set(unplaced), poolId, nowMs);
     if (assignments.length === 0) return;
@@ -131,6 +136,53 @@
     this.sendAfterCommit(runs);
   }
 
+  private request(
+    candidates: readonly Candidate[],
+    workers: readonly PlanWorker[],
+    rules: FleetRules,
+    nowMs: number,
+  ): PlanRequest {
+    const { state, limiter } = this.options;
+    const workerIds = workers.map(({ workerId }) => workerId);
+    return buildPlanRequest({
+      candidates,
+      workers,
+      order: this.order,
+      state,
+      rules,
+      nowMs,
+      maxStarts: limiter.available(nowMs),
+      allowedWorkers: (candidate) => this.allowedWorkers(candidate, workerIds),
+    });
+  }
+
+  /** Places the tasks that are suspected of crashing their workers. Returns whether some of them wait. */
+  private placeSuspects(
+    poolId: string,
+    suspects: readonly Candidate[],
+    areOthersWaiting: boolean,
+    rules: FleetRules,
+    nowMs: number,
+  ): boolean {
+    const { isolation, limiter, counters, logger } = this.options;
+    return isolation.place({
+      poolId,
+      suspects: this.order.sort(suspects),
+      workers: this.workersOf(poolId),
+      areOthersWaiting,
+      nowMs,
+      plan: (suspect, workers) => planPool(this.request([suspect], workers, rules, nowMs)).assignments,
+      start: (suspect, assignments) => {
+        limiter.take(assignments.length);
+        counters.increment('placement.suspect_started', undefined, assignments.length);
+        const runs = assignments.map((assignment) => this.assign(suspect, assignment, assignments));
+        for (const [{ record }, { task, run, workerId }] of runs)
+          logger.info(LOG_EVENTS.suspectPlaced, { ...task, run, workerId, ...record.crashesOf(task) });
+        this.sendAfterCommit(runs);
+      },
+    });
+  }
+
   private allowedWorkers(
     { job, queue, readyStep }: Candidate,
     workerIds: readonly string[],
@@ -212,7 +264,10 @@
     const session = fleet.get(run.workerId);
     const isSameReadyWorker =
       session?.entry.startedAtMs === run.workerStartedAtMs && session.entry.state === 'ready';
-    if (!isSameReadyWorker || !writer.isValid() || !state.shouldStart(record, run)) {
+    // The capacity may have shrunk since the start was planned.
+    const hasRoom =
+      session !== undefined && fitsInto(state.occupancy.onWorker(run.workerId), session.entry.capacity);
+    if (!isSameReadyWorker || !hasRoom || !writer.isValid() || !state.shouldStart(record, run)) {
       this.options.onNotSent({ ...run, outcome: 'lost', checkpoint: '' });
       return;
     }
@@ -234,7 +289,16 @@
     if (job === undefined || queue?.advice !== null) return;
     const step = record.step(task.step);
     const demand = occupiedBy(step);
-    const destination = this.workersOf(queue.poolId).find(
+    if (record.isSuspect(task)) return;
+    const nowMs = this.options.clock.monotonicMs();
+    const { poolId } = queue;
+    const workers = this.options.isolation.openWorkers({
+      poolId,
+      candidates: [],
+      workers: this.workersOf(poolId),
+      nowMs,
+    });
+    const destination = workers.find(
       (worker) =>
         worker.workerId !== run.workerId &&
         worker.maxNewTasks > 0 &&
@@ -302,7 +366,9 @@
   private preempt({ readyStep, priority, queue }: Candidate, poolId: string): void {
     const { fleet, counters, logger } = this.options;
     const demand = occupiedBy(readyStep.definition);
-    for (const { workerId, free, labels } of this.workersOf(poolId)) {
+    // On a worker over its capacity, more runs would have to stop than make room for the task.
+    const workers = [...this.workersOf(poolId)].sort((a, b) => Number(isOverfull(a)) - Number(isOverfull(b)));
+    for (const { workerId, free, labels } of workers) {
       const session = fleet.get(workerId);
       const { requiredLabel } = readyStep.definition;
       if (session === undefined || (requiredLabel !== null && !labels.includes(requiredLabel))) continue;
@@ -348,6 +414,10 @@
   }
 }
 
+function isOverfull({ free }: PlanWorker): boolean {
+  return !fitsInto(NO_RESOURCES, free);
+}
+
 function withReserve(demand: Resources, capacity: Resources): Resources {
   return { ...demand, processors: demand.processors + capacity.processors * SPECULATION_RESERVE };
 }
--- a/placement/worker_fleet.ts
+++ b/placement/worker_fleet.ts
@@ -6,6 +6,7 @@
 import type { LeaseEndKeeper } from './lease_end_keeper';
 import type { LostRunLog, LostRunReason } from './lost_run_log';
 import { SessionListener } from './session_listener';
+import type { CrashSign, WorkerCrash } from './worker_crash';
 import { WorkerSession } from './worker_session';
 
 /**
@@ -26,6 +27,8 @@
   readonly mayAct: () => boolean;
   /** Runs that are recorded for a worker. */
   readonly recordedRuns: (workerId: string) => readonly TaskRun[];
+  /** Called when a worker has crashed, before its runs are reported as lost. */
+  readonly onCrash: (crash: WorkerCrash) => void;
   /** Called when a run no longer exists and its outcome will never be known. */
   readonly onRunLost: (result: RunResult) => void;
   readonly lostRunLog: LostRunLog;
@@ -83,20 +86,31 @@
     else this.replace(session, entry);
   }
 
-  /** Closes the session of an incarnation that has been replaced and reports its runs as lost. */
-  remove(session: WorkerSession, reason: LostRunReason = 'replaced by another incarnation'): void {
+  /**
+   * Closes the session of an incarnation that no longer exists and reports its runs as
+   * lost; `sign` is `null` if the incarnation was stopped as planned.
+   */
+  remove(session: WorkerSession, sign: CrashSign | null = 'restarted'): void {
     const { workerId } = session.worker;
     if (this.sessions.get(workerId) !== session) return;
     this.deleteSession(session);
     session.close();
-    this.reportLostRuns(this.options.recordedRuns(workerId), reason);
+    const runs = this.options.recordedRuns(workerId);
+    if (sign !== null) this.reportCrash({ sign, entry: session.entry, session, runs });
+    this.reportLostRuns(
+      runs,
+      sign === 'restarted' ? 'replaced by another incarnation' : 'stopped according to the platform',
+    );
   }
 
-  /** Closes the session of an incarnation that has certainly stopped and ignores its entry from now on. */
-  retire(session: WorkerSession): void {
+  /**
+   * Closes the session of an incarnation that has certainly stopped and ignores its entry
+   * from now on; `sign` is `null` if it was stopped as planned.
+   */
+  retire(session: WorkerSession, sign: CrashSign | null): void {
     const ignoredUntilMs = this.options.clock.monotonicMs() + IGNORE_ENTRY_MS;
     this.retired.set(session.worker.workerId, { startedAtMs: session.entry.startedAtMs, ignoredUntilMs });
-    this.remove(session, 'stopped according to the platform');
+    this.remove(session, sign);
   }
 
   private isRetired({ workerId, startedAtMs }: WorkerEntry): boolean {
@@ -144,7 +158,8 @@
     this.addSession(session);
   }
 
-  private open(entry: WorkerEntry): void {
+  /** Opens a session; `replaced` is the closed one with an earlier incarnation. */
+  private open(entry: WorkerEntry, replaced: WorkerSession | null = null): void {
     const { clock, gateway, listener, fencingToken, maxLeaseMs, mayAct, leaseEnds } = this.options;
     const { workerId, startedAtMs } = entry;
     const runs = this.options.recordedRuns(workerId);
@@ -167,17 +182,21 @@
     });
     this.addSession(session);
     // The runs of earlier incarnations under this id no longer exist.
-    this.reportLostRuns(
-      runs.filter((run) => !isOfIncarnation(run)),
-      'replaced by another incarnation',
-    );
+    const lost = runs.filter((run) => !isOfIncarnation(run));
+    const sign = replaced === null ? 'takeover' : 'restarted';
+    this.reportCrash({ sign, entry: replaced?.entry ?? entry, session: replaced, runs: lost });
+    this.reportLostRuns(lost, 'replaced by another incarnation');
     void session.run();
   }
 
   private replace(session: WorkerSession, entry: WorkerEntry): void {
     this.deleteSession(session);
     session.close();
-    this.open(entry);
+    this.open(entry, session);
+  }
+
+  private reportCrash(crash: WorkerCrash): void {
+    if (crash.runs.length > 0) this.options.onCrash(crash);
   }
 
   private reportLostRuns(runs: readonly TaskRun[], reason: LostRunReason): void {
