Log what limits the placement leader and what callers get

Change: event 738, one line a second from the leader, and the rule for a job's target as a function of its own.

Measured: placement and telemetry tests pass.

Conclusion: no decision changes.

--- a/placement/leader_parts.ts
+++ b/placement/leader_parts.ts
@@ -22,6 +22,7 @@
 import { JobIntake } from './job_intake';
 import type { AcquiredLease } from './leader_election';
 import { LeaderReporter } from './leader_reporter';
+import { LoadReport } from './load_report';
 import { PlacementState } from './placement_state';
 import { PoolDemandTracker } from './pool_demand';
 import { RunResultHandler } from './run_result_handler';
@@ -94,6 +95,7 @@
   readonly health: WorkerHealth;
   readonly resultHandler: RunResultHandler;
   readonly limiter: StartLimiter;
+  readonly loadReport: LoadReport;
   readonly demand: PoolDemandTracker;
   readonly burstMemory: BurstMemoryKeeper;
   readonly reporter: LeaderReporter;
@@ -138,12 +140,13 @@
     onRunLost,
   });
   const health = new WorkerHealth();
-  const resultHandler = new RunResultHandler({ ...options, state, fleet, health });
+  const loadReport = new LoadReport();
+  const resultHandler = new RunResultHandler({ ...options, state, fleet, health, loadReport });
   const limiter = new AdaptiveStartLimiter(options.processors);
   const forecast = new BurstForecast();
   const burstMemory = new BurstMemoryKeeper({ store, writer, forecast });
   const demand = new PoolDemandTracker({ clock, state, rules, forecast });
-  const reporter = new LeaderReporter({ ...options, limiter, writer, state, fleet, demand });
+  const reporter = new LeaderReporter({ ...options, limiter, loadReport, writer, state, fleet, demand });
   const sweep = new EndedJobSweep({ ...options, writer, jobs: state.jobs });
   const instanceController = new InstanceController({
     ...options,
@@ -172,6 +175,7 @@
     instanceController,
     demand,
     limiter,
+    loadReport,
     advice,
     onNotSent: onRunLost,
   });
@@ -212,6 +216,7 @@
     health,
     resultHandler,
     limiter,
+    loadReport,
     demand,
     burstMemory,
     reporter,
--- a/placement/leader_reporter.ts
+++ b/placement/leader_reporter.ts
@@ -6,6 +6,7 @@
 import { LOG_EVENTS } from '../telemetry/events_catalogue';
 import type { Logger } from '../telemetry/logger';
 import type { FencedWriter } from './fenced_writer';
+import type { LoadReport } from './load_report';
 import type { PlacementState } from './placement_state';
 import type { PoolDemandTracker, PoolUsage } from './pool_demand';
 import { encodeQueueStatus, queueStatusAddress } from './queue_status';
@@ -27,6 +28,7 @@
   readonly fleet: WorkerFleet;
   readonly demand: PoolDemandTracker;
   readonly limiter: StartLimiter;
+  readonly loadReport: LoadReport;
   readonly rules: () => FleetRules | null;
   readonly logger: Logger;
 }
@@ -45,7 +47,7 @@
   }
 
   private logSummary(): void {
-    const { clock, demand, fleet, state, limiter, logger } = this.options;
+    const { clock, demand, fleet, state, limiter, loadReport, logger } = this.options;
     const nowMs = clock.monotonicMs();
     const rules = this.options.rules();
     if (rules === null || nowMs - this.lastSummaryAtMs < SUMMARY_INTERVAL_MS) return;
@@ -71,6 +73,8 @@
       pools,
       teams,
     });
+    const { user, system } = process.cpuUsage();
+    logger.info(LOG_EVENTS.placementLoad, loadReport.take((user + system) / 1_000, nowMs));
   }
 
   private writeQueueStatus(): void {
--- a/placement/placement_leader.ts
+++ b/placement/placement_leader.ts
@@ -279,6 +279,7 @@
       this.planTimer = null;
       const nowMs = clock.monotonicMs();
       this.parts.limiter.recordDelay(nowMs - dueAtMs, nowMs);
+      this.parts.loadReport.recordPass(nowMs - dueAtMs);
       this.plan();
     });
   }
--- a/placement/plan_request.ts
+++ b/placement/plan_request.ts
@@ -7,7 +7,7 @@
 import { USEFUL_TIME_FACTOR, type QueueOrder, type WaitingStep } from '../scheduling/queue_order';
 import type { OpenJob } from './job_registry';
 import type { PlacementState } from './placement_state';
-import { criticalPathMs } from './run_time_estimator';
+import { criticalPathMs, type RunTimeEstimator } from './run_time_estimator';
 
 /** A step waits this long for the rack of its data before it may run on another one, in milliseconds. */
 const REMOTE_WAIT_MS = 400;
@@ -97,6 +97,11 @@
   return known;
 }
 
+/** Time within which a job should end, as its queue promises. */
+export function targetMs(definition: JobDefinition, queue: QueueRule, estimator: RunTimeEstimator): number {
+  return queue.stretch * estimator.expectedMs(queue.queueId, wholePathMs(definition)) + queue.targetLatencyMs;
+}
+
 function remainingPath(
   { record }: OpenJob,
   readySteps: readonly ReadyStep[],
@@ -121,19 +126,18 @@
   const { record } = job;
   const { definition, queueId } = record.job;
   const remaining = remainingPath(job, readySteps, readyStep.occurrence);
-  const expectedMs = state.estimator.expectedMs(queueId, wholePathMs(definition));
   const remainingMs = state.estimator.expectedMs(queueId, remaining.criticalPathMs);
   const dueAtMs = record.dueAtMs(readyStep.occurrence);
   const startAtMs = dueAtMs === 0 ? job.acceptedAtMs : nowMs + dueAtMs - unixMs;
-  const targetMs = queue.stretch * expectedMs + queue.targetLatencyMs;
-  const slackMs = startAtMs + targetMs - nowMs - remainingMs;
+  const jobTargetMs = targetMs(definition, queue, state.estimator);
+  const slackMs = startAtMs + jobTargetMs - nowMs - remainingMs;
   return {
     stepKey: `${record.job.jobId}.${readyStep.occurrence}.${readyStep.step}`,
     priority: queue.priority,
     isLongRunning: readyStep.definition.isLongRunning,
     isFiller: readyStep.definition.isFiller,
     slackMs,
-    usefulSlackMs: slackMs + (USEFUL_TIME_FACTOR - 1) * targetMs,
+    usefulSlackMs: slackMs + (USEFUL_TIME_FACTOR - 1) * jobTargetMs,
     isOverShare: record.job.teamId !== null && overShare.has(record.job.teamId),
     arrivalNumber: job.arrivalNumber,
     job,
--- a/placement/run_result_handler.ts
+++ b/placement/run_result_handler.ts
@@ -3,13 +3,16 @@
  * and stops runs that became obsolete.
  */
 import type { Clock } from '../kernel/clock';
+import type { FleetRules } from '../scheduling/fleet_rules';
 import { isEnded } from '../scheduling/job_progress';
 import type { RunResult, TaskRun } from '../scheduling/job_record';
 import type { Counters } from '../telemetry/counters';
 import { LOG_EVENTS } from '../telemetry/events_catalogue';
 import type { Logger } from '../telemetry/logger';
 import type { OpenJob } from './job_registry';
+import type { LoadReport } from './load_report';
 import type { PlacementState } from './placement_state';
+import { targetMs } from './plan_request';
 import type { WorkerFleet } from './worker_fleet';
 import type { WorkerHealth } from './worker_health';
 
@@ -21,6 +24,8 @@
   readonly state: PlacementState;
   readonly fleet: WorkerFleet;
   readonly health: WorkerHealth;
+  readonly loadReport: LoadReport;
+  readonly rules: () => FleetRules | null;
   readonly counters: Counters;
   readonly logger: Logger;
 }
@@ -35,6 +40,7 @@
   handleResult(result: RunResult, startedAtMs: number | null): void {
     const job = this.options.state.endRun(result);
     if (job === null) return;
+    this.options.loadReport.recordRunEnd();
     this.logUnusualResult(job, result, startedAtMs);
     if (result.outcome === 'done' || result.outcome === 'failed') {
       this.options.health.recordResult(
@@ -92,10 +98,14 @@
   }
 
   private logJobEnd({ record, acceptedAtMs }: OpenJob): void {
-    const { jobId, queueId } = record.job;
-    const tookMs = Math.round(this.options.clock.monotonicMs() - acceptedAtMs);
-    this.options.counters.increment('placement.job_ended', record.state);
-    this.options.logger.info(LOG_EVENTS.jobEnded, { jobId, queueId, state: record.state, tookMs });
+    const { clock, counters, loadReport, logger, rules, state } = this.options;
+    const { jobId, queueId, definition } = record.job;
+    const tookMs = Math.round(clock.monotonicMs() - acceptedAtMs);
+    counters.increment('placement.job_ended', record.state);
+    logger.info(LOG_EVENTS.jobEnded, { jobId, queueId, state: record.state, tookMs });
+    const queue = rules()?.queues.get(queueId);
+    if (queue === undefined || definition.repeat !== null || record.state !== 'completed') return;
+    loadReport.recordJobEnd(queueId, tookMs <= targetMs(definition, queue, state.estimator));
   }
 
   /** Stops all runs of a job. */
--- a/placement/task_placer.ts
+++ b/placement/task_placer.ts
@@ -14,6 +14,7 @@
 import type { InstanceController } from './instance_controller';
 import type { OpenJob } from './job_registry';
 import type { FencedWriter } from './fenced_writer';
+import type { LoadReport } from './load_report';
 import type { PlacementState, RecordedRun } from './placement_state';
 import { buildPlanRequest, candidatesByPool, type Candidate } from './plan_request';
 import type { PoolDemandTracker } from './pool_demand';
@@ -41,6 +42,7 @@
   readonly advice: AdviceCache;
   readonly demand: PoolDemandTracker;
   readonly limiter: StartLimiter;
+  readonly loadReport: LoadReport;
   readonly rules: () => FleetRules | null;
   readonly counters: Counters;
   readonly logger: Logger;
@@ -100,7 +102,7 @@
   }
 
   private planPool(poolId: string, candidates: readonly Candidate[], rules: FleetRules, nowMs: number): void {
-    const { state, limiter, counters } = this.options;
+    const { state, limiter, loadReport, counters } = this.options;
     const workers = this.workersOf(poolId);
     const workerIds = workers.map(({ workerId }) => workerId);
     const request = buildPlanRequest({
@@ -119,6 +121,9 @@
       counters.increment('placement.starts_deferred');
       this.isStartLimited = true;
     }
+    if (isStartLimited) loadReport.recordHeld(poolId, 'starts');
+    if (isLimitReached) loadReport.recordHeld(poolId, 'team_limit');
+    if (unplaced.length > 0 && !isLimitReached) loadReport.recordHeld(poolId, 'room');
     if (isLimitReached || isStartLimited) this.limitedPoolIds.add(poolId);
     else this.limitedPoolIds.delete(poolId);
     this.preemptForLongRunning(candidates, new Set(unplaced), poolId, nowMs);
@@ -208,7 +213,7 @@
 
   /** Sends a recorded start, unless it has become obsolete in the meantime. */
   private send({ record }: OpenJob, run: TaskRun): void {
-    const { fleet, writer, state, counters, advice } = this.options;
+    const { fleet, writer, state, counters, advice, loadReport } = this.options;
     const session = fleet.get(run.workerId);
     const isSameReadyWorker =
       session?.entry.startedAtMs === run.workerStartedAtMs && session.entry.state === 'ready';
@@ -217,6 +222,7 @@
       return;
     }
     counters.increment('placement.started');
+    loadReport.recordStart();
     this.options.logger.info(LOG_EVENTS.taskStarted, { ...run.task, run: run.run, workerId: run.workerId });
     session.start({
       task: run.task,
--- a/telemetry/events_catalogue.ts
+++ b/telemetry/events_catalogue.ts
@@ -62,6 +62,7 @@
   poolSummary: logEvent(724, 'pool summary'),
   jobAccepted: logEvent(730, 'job accepted'),
   jobRejected: logEvent(731, 'job rejected'),
+  placementLoad: logEvent(738, 'placement load'),
   settingsReloaded: logEvent(732, 'settings file read again'),
   memberRegistered: logEvent(500, 'member registered'),
   memberActive: logEvent(501, 'member active'),
