Place jobs that can meet their target by their value for each start

Whatever was short, the jobs that could still meet their target were placed by the least slack: each waits until its last chance, and any delay after that makes it late, so that in an overload nearly all are late.

Change: they are placed by the value of their result divided by the tasks that have yet to start for it; the value of a job is partly its own and partly its work, as the platform's callers count it. It rises while a job's tasks start, so that begun jobs come before similar ones. Where it is equal, the least slack still decides.

--- a/placement/plan_request.ts
+++ b/placement/plan_request.ts
@@ -7,11 +7,17 @@
 import { USEFUL_TIME_FACTOR, type QueueOrder, type WaitingStep } from '../scheduling/queue_order';
 import type { OpenJob } from './job_registry';
 import type { PlacementState } from './placement_state';
-import { criticalPathMs, type RunTimeEstimator } from './run_time_estimator';
+import { criticalPathMs, totalWork, type RunTimeEstimator } from './run_time_estimator';
 
 /** A step waits this long for the rack of its data before it may run on another one, in milliseconds. */
 const REMOTE_WAIT_MS = 400;
 
+/**
+ * Value of any job's result, as a fraction of the mean work of its queue. The rest of a
+ * job's value is in proportion to its work, as the callers of the platform count it.
+ */
+const BASE_VALUE = 0.43;
+
 /** Amount of a resource that no team reaches, where there is no limit. */
 const UNLIMITED = Number.MAX_SAFE_INTEGER;
 
@@ -35,22 +41,41 @@
 
 /** Waiting steps, by pool. */
 export function candidatesByPool(options: CandidateOptions): ReadonlyMap<string, readonly Candidate[]> {
-  const byPool = new Map<string, Candidate[]>();
+  const found = findReadySteps(options);
   const overShare = teamsOverShare(options);
-  for (const job of options.state.jobs.openJobs()) {
-    const queue = options.rules.queues.get(job.record.job.queueId);
-    // Jobs of a queue that the operator has removed start no more tasks.
-    if (queue === undefined || options.poolIds?.has(queue.poolId) === false) continue;
-    const readySteps = job.record.readySteps(options.unixMs);
-    if (readySteps.length === 0) continue;
-    const candidates = byPool.get(queue.poolId) ?? [];
-    byPool.set(queue.poolId, candidates);
-    for (const step of readySteps)
-      candidates.push(candidateOf({ job, queue, step, readySteps, overShare }, options));
+  const meanWork = meanWorkByQueue(found);
+  const byPool = new Map<string, Candidate[]>();
+  for (const step of found) {
+    const { poolId, queueId } = step.queue;
+    const candidates = byPool.get(poolId) ?? [];
+    byPool.set(poolId, candidates);
+    candidates.push(candidateOf(step, { overShare, meanWork: meanWork.get(queueId) ?? 0 }, options));
   }
   return byPool;
 }
 
+function findReadySteps({ state, rules, unixMs, poolIds }: CandidateOptions): readonly FoundStep[] {
+  const found: FoundStep[] = [];
+  for (const job of state.jobs.openJobs()) {
+    const queue = rules.queues.get(job.record.job.queueId);
+    // Jobs of a queue that the operator has removed start no more tasks.
+    if (queue === undefined || poolIds?.has(queue.poolId) === false) continue;
+    const readySteps = job.record.readySteps(unixMs);
+    for (const step of readySteps) found.push({ job, queue, step, readySteps });
+  }
+  return found;
+}
+
+/** Mean work of the jobs with waiting steps, by queue. */
+function meanWorkByQueue(found: readonly FoundStep[]): ReadonlyMap<string, number> {
+  const sums = new Map<string, { readonly work: number; readonly count: number }>();
+  for (const { job, queue } of found) {
+    const { work, count } = sums.get(queue.queueId) ?? { work: 0, count: 0 };
+    sums.set(queue.queueId, { work: work + wholeJob(job.record.job.definition).work, count: count + 1 });
+  }
+  return new Map([...sums].map(([queueId, { work, count }]) => [queueId, work / count]));
+}
+
 /**
  * Teams whose fraction of the processors used by all teams with open jobs exceeds their
  * fraction of the weights.
@@ -75,13 +100,26 @@
   readonly step: ReadyStep;
   /** All ready steps of the job. */
   readonly readySteps: readonly ReadyStep[];
+}
+
+interface Comparison {
   readonly overShare: ReadonlySet<string>;
+  /** Mean work of the waiting jobs of the same queue. */
+  readonly meanWork: number;
 }
 
-/** Estimated length of the steps of an occurrence that are not done. */
+/** What is left of an occurrence: the estimated length of its steps, and the tasks that have not started. */
 interface RemainingPath {
   readonly occurrence: number;
   readonly criticalPathMs: number;
+  readonly startCount: number;
+}
+
+/** Estimates for one occurrence of a job. */
+interface WholeJob {
+  readonly criticalPathMs: number;
+  /** In core-milliseconds. */
+  readonly work: number;
 }
 
 /**
@@ -89,17 +127,26 @@
  * its tasks changes. Planning passes are more frequent than changes of one job.
  */
 const remainingPaths = new WeakMap<readonly ReadyStep[], RemainingPath>();
-const wholePathsMs = new WeakMap<JobDefinition, number>();
+const wholeJobs = new WeakMap<JobDefinition, WholeJob>();
 
-function wholePathMs(definition: JobDefinition): number {
-  const known = wholePathsMs.get(definition) ?? criticalPathMs(definition, () => true);
-  wholePathsMs.set(definition, known);
-  return known;
+function wholeJob(definition: JobDefinition): WholeJob {
+  const known = wholeJobs.get(definition);
+  if (known !== undefined) return known;
+  const isPending = (): boolean => true;
+  const whole = {
+    criticalPathMs: criticalPathMs(definition, isPending),
+    work: totalWork(definition, isPending),
+  };
+  wholeJobs.set(definition, whole);
+  return whole;
 }
 
 /** Time within which a job should end, as its queue promises. */
 export function targetMs(definition: JobDefinition, queue: QueueRule, estimator: RunTimeEstimator): number {
-  return queue.stretch * estimator.expectedMs(queue.queueId, wholePathMs(definition)) + queue.targetLatencyMs;
+  return (
+    queue.stretch * estimator.expectedMs(queue.queueId, wholeJob(definition).criticalPathMs) +
+    queue.targetLatencyMs
+  );
 }
 
 function remainingPath(
@@ -114,13 +161,33 @@
   const path = {
     occurrence,
     criticalPathMs: criticalPathMs(definition, isPending),
+    startCount: startsLeft(
+      definition,
+      readySteps.filter((ready) => ready.occurrence === occurrence),
+      isPending,
+    ),
   };
   remainingPaths.set(readySteps, path);
   return path;
 }
 
+/** Number of tasks of an occurrence that have not started; those of ready steps wait. */
+function startsLeft(
+  { steps }: JobDefinition,
+  readySteps: readonly ReadyStep[],
+  isPending: (step: number) => boolean,
+): number {
+  const isReady = new Set(readySteps.map(({ step }) => step));
+  const waiting = readySteps.reduce((sum, step) => sum + step.waiting.length, 0);
+  return steps.reduce(
+    (sum, { taskCount }, step) => (isPending(step) && !isReady.has(step) ? sum + taskCount : sum),
+    waiting,
+  );
+}
+
 function candidateOf(
-  { job, queue, step: readyStep, readySteps, overShare }: FoundStep,
+  { job, queue, step: readyStep, readySteps }: FoundStep,
+  { overShare, meanWork }: Comparison,
   { state, nowMs, unixMs }: CandidateOptions,
 ): Candidate {
   const { record } = job;
@@ -138,6 +205,7 @@
     isFiller: readyStep.definition.isFiller,
     slackMs,
     usefulSlackMs: slackMs + (USEFUL_TIME_FACTOR - 1) * jobTargetMs,
+    valuePerStart: (BASE_VALUE * meanWork + wholeJob(definition).work) / remaining.startCount,
     isOverShare: record.job.teamId !== null && overShare.has(record.job.teamId),
     arrivalNumber: job.arrivalNumber,
     job,
--- a/scheduling/queue_order.ts
+++ b/scheduling/queue_order.ts
@@ -14,6 +14,8 @@
    * caller any more.
    */
   readonly usefulSlackMs: number;
+  /** Value of the job's result to its caller, divided by the number of tasks that have yet to start for it. */
+  readonly valuePerStart: number;
   /** Whether the job's team uses more than its share of the processors that are in use. */
   readonly isOverShare: boolean;
   /** Position in the order of arrival. */
@@ -41,17 +43,20 @@
  * Sorts by priority; within a priority, long-running tasks come first, then jobs
  * that can still meet their target, then fillers, then jobs that cannot meet it but
  * whose result is still of use, then the others. Within each of these, teams within
- * their share come before others. Jobs that can meet their target, and those whose
- * result is still of use, are then sorted by their slack, the rest by arrival.
+ * their share come before others. Jobs that can meet their target are then sorted by
+ * their value for each start, and by the least slack where that is equal; jobs whose
+ * result is still of use by the least slack, the rest by arrival.
  *
- * It answers the load of a burst beyond the pool's capacity: with all late jobs in the
- * order of arrival, those that are of no use any more run first, and each job behind
- * them becomes useless while it waits.
+ * It answers the load of a burst beyond the pool's capacity or the leader's. Sorting by
+ * the least slack keeps each job waiting until its last chance, so that nearly all of
+ * them miss their target; sorting late jobs by arrival runs those first that are of no
+ * use any more, and each job behind them becomes useless while it waits. The value for
+ * each start rises as a job's tasks start, so that begun jobs come before similar ones.
  */
 export class SlackOrder extends QueueOrder {
   override sort<T extends WaitingStep>(steps: readonly T[]): readonly T[] {
     return [...steps].sort(
-      (a, b) => rank(a) - rank(b) || compareSlack(a, b) || a.arrivalNumber - b.arrivalNumber,
+      (a, b) => rank(a) - rank(b) || compareWithinRank(a, b) || a.arrivalNumber - b.arrivalNumber,
     );
   }
 }
@@ -78,8 +83,9 @@
 }
 
 /** Compares steps of the same rank. */
-function compareSlack(a: WaitingStep, b: WaitingStep): number {
+function compareWithinRank(a: WaitingStep, b: WaitingStep): number {
   const kind = kindOf(a);
-  if (kind === Kind.OnTime || kind === Kind.Filler) return a.slackMs - b.slackMs;
+  if (kind === Kind.OnTime) return b.valuePerStart - a.valuePerStart || a.slackMs - b.slackMs;
+  if (kind === Kind.Filler) return a.slackMs - b.slackMs;
   return kind === Kind.Late ? a.usefulSlackMs - b.usefulSlackMs : 0;
 }
--- a/scheduling/queue_order_test.ts
+++ b/scheduling/queue_order_test.ts
@@ -39,6 +39,7 @@
     isFiller: false,
     slackMs,
     usefulSlackMs: slackMs + (USEFUL_TIME_FACTOR - 1) * TARGET_MS,
+    valuePerStart: 1,
     isOverShare: false,
     arrivalNumber: number,
   };
