Let one lease call report several ended runs while starts are limited

Cause: the leader is short of processor time in a burst, about half of it is calls, and a task needs two: its start, and the lease call that reports its end.

Change: while starts are limited, a session waits 150 ms after a report with new ends; the runs that end meanwhile share the next call.

The method did not exist before.

--- a/placement/leader_reporter.ts
+++ b/placement/leader_reporter.ts
@@ -69,7 +69,7 @@
     ]);
     const startLimit = limiter.limitPerSecond();
     logger.info(LOG_EVENTS.poolSummary, {
-      startLimitPerSecond: Number.isFinite(startLimit) ? Math.round(startLimit) : null,
+      startLimitPerSecond: limiter.isLimiting() ? Math.round(startLimit) : null,
       pools,
       teams,
     });
--- a/placement/placement_leader.ts
+++ b/placement/placement_leader.ts
@@ -28,6 +28,13 @@
 /** Delay of the next planning pass while the number of starts is limited, in milliseconds. */
 const LIMITED_PLAN_DELAY_MS = 25;
 
+/**
+ * Pause between two reports of ended runs from one worker while the number of starts is
+ * limited, in milliseconds. A call costs the leader as much as a start; the runs that
+ * end within the pause share one, and the targets of jobs are several times longer.
+ */
+const BUSY_REPORT_PAUSE_MS = 150;
+
 /** Interval of the checks that depend only on the passage of time, in milliseconds. */
 const TICK_MS = 250;
 
@@ -181,6 +188,7 @@
   override onProgress(session: WorkerSession, activeRuns: readonly ActiveRun[]): void {
     if (this.isStopped) return;
     session.setFrequentPolling(this.mustPollFrequently(session));
+    session.setReportPause(this.parts.limiter.isLimiting() ? BUSY_REPORT_PAUSE_MS : 0);
     for (const { task, run, checkpoint } of activeRuns) {
       const record = this.parts.state.jobs.get(task.jobId)?.record;
       if (record === undefined || checkpoint === '') continue;
--- a/placement/worker_session.ts
+++ b/placement/worker_session.ts
@@ -90,6 +90,7 @@
   private wakeUp: (() => void) | null = null;
   private failingSinceMs: number | null = null;
   private isPolledFrequently = false;
+  private reportPauseMs = 0;
 
   constructor(private readonly options: WorkerSessionOptions) {
     const { entry, inherited, clock, maxLeaseMs } = options;
@@ -129,6 +130,14 @@
     this.isPolledFrequently = isEnabled;
   }
 
+  /**
+   * Sets the pause between a report of ended runs and the next lease call, in
+   * milliseconds, so that one call reports the runs that end within it.
+   */
+  setReportPause(pauseMs: number): void {
+    this.reportPauseMs = pauseMs;
+  }
+
   /** Whether new tasks may be sent to this worker. */
   isUsable(): boolean {
     return (
@@ -204,13 +213,21 @@
       if (this.isIdle()) await this.sleep(null);
       if (this.hasClosed()) return;
       const sentAtMs = this.nowMs();
+      const reportedBefore = this.lastReportedEndNumber;
       const hasResponded = await this.renewLease(sentAtMs);
       if (this.hasClosed()) return;
       if (!hasResponded) await this.sleep(RETRY_MS);
-      else if (this.lastReportedEndNumber > this.recordedEndNumber) await this.sleep(RECORD_WAIT_MS);
+      else await this.waitBetweenReports(this.lastReportedEndNumber > reportedBefore);
     }
   }
 
+  /** Waits until the reported ended runs are recorded, and after new ones at least for the pause. */
+  private async waitBetweenReports(hasNewEnds: boolean): Promise<void> {
+    if (hasNewEnds && this.reportPauseMs > 0) await this.options.clock.delay(this.reportPauseMs);
+    if (!this.hasClosed() && this.lastReportedEndNumber > this.recordedEndNumber)
+      await this.sleep(RECORD_WAIT_MS);
+  }
+
   private hasClosed(): boolean {
     return this.isClosed;
   }
--- a/scheduling/start_limiter.ts
+++ b/scheduling/start_limiter.ts
@@ -40,6 +40,11 @@
   abstract take(count: number): void;
   /** Current limit in starts per second; `Infinity` without one. */
   abstract limitPerSecond(): number;
+
+  /** Whether there is a limit now. */
+  isLimiting(): boolean {
+    return Number.isFinite(this.limitPerSecond());
+  }
 }
 
 /**
