--- a/placement/leader_parts.ts
+++ b/placement/leader_parts.ts
@@ -26,6 +26,7 @@
 import { LeaderReporter } from './leader_reporter';
 import { LeaseEndKeeper } from './lease_end_keeper';
 import { LostRunLog } from './lost_run_log';
+import { LoadReport } from './load_report';
 import { PlacementState } from './placement_state';
 import { PoolDemandTracker } from './pool_demand';
 import { RunResultHandler } from './run_result_handler';
@@ -108,6 +109,7 @@
   readonly resultHandler: RunResultHandler;
   readonly crashHandler: WorkerCrashHandler;
   readonly limiter: StartLimiter;
+  readonly loadReport: LoadReport;
   readonly demand: PoolDemandTracker;
   readonly burstMemory: BurstMemoryKeeper;
   readonly reporter: LeaderReporter;
@@ -159,12 +161,13 @@
     onRunLost,
   });
   const health = new WorkerHealth();
-  const resultHandler = new RunResultHandler({ ...options, state, fleet, health });
+  const loadReport = new LoadReport();
+  const resultHandler = new RunResultHandler({ ...options, state, fleet, health, loadReport });
   const limiter = new AdaptiveStartLimiter(options.processors);
   const forecast = new BurstForecast();
   const burstMemory = new BurstMemoryKeeper({ store, writer, forecast });
   const demand = new PoolDemandTracker({ clock, state, rules, forecast });
-  const reporter = new LeaderReporter({ ...options, limiter, writer, state, fleet, demand });
+  const reporter = new LeaderReporter({ ...options, limiter, loadReport, writer, state, fleet, demand });
   const sweep = new EndedJobSweep({ ...options, writer, jobs: state.jobs });
   const instanceController = new InstanceController({
     ...options,
@@ -211,6 +214,7 @@
     instanceController,
     demand,
     limiter,
+    loadReport,
     advice,
     isolation,
     onNotSent: onRunLost,
@@ -259,6 +263,7 @@
     resultHandler,
     crashHandler,
     limiter,
+    loadReport,
     demand,
     burstMemory,
     reporter,
--- a/placement/task_placer.ts
+++ b/placement/task_placer.ts
@@ -19,6 +19,7 @@
 import type { InstanceController } from './instance_controller';
 import type { OpenJob } from './job_registry';
 import type { FencedWriter } from './fenced_writer';
+import type { LoadReport } from './load_report';
 import type { PlacementState, RecordedRun } from './placement_state';
 import { buildPlanRequest, candidatesByPool, type Candidate } from './plan_request';
 import type { PoolDemandTracker } from './pool_demand';
@@ -48,6 +49,7 @@
   readonly demand: PoolDemandTracker;
   readonly limiter: StartLimiter;
   readonly isolation: SuspectIsolation;
+  readonly loadReport: LoadReport;
   readonly rules: () => FleetRules | null;
   readonly counters: Counters;
   readonly logger: Logger;
@@ -107,7 +109,7 @@
   }
 
   private planPool(poolId: string, waiting: readonly Candidate[], rules: FleetRules, nowMs: number): void {
-    const { limiter, counters, isolation } = this.options;
+    const { limiter, loadReport, counters, isolation } = this.options;
     const { suspects, others: candidates } = isolation.separate(poolId, waiting, nowMs);
     const areSuspectsWaiting =
       suspects.length > 0 && this.placeSuspects(poolId, suspects, candidates.length > 0, rules, nowMs);
@@ -123,6 +125,9 @@
       this.isStartLimited = true;
     }
     const isSpread = spreadsTasks && unplaced.length > 0;
+    if (isStartLimited) loadReport.recordHeld(poolId, 'starts');
+    if (isLimitReached) loadReport.recordHeld(poolId, 'team_limit');
+    if (unplaced.length > 0 && !isLimitReached) loadReport.recordHeld(poolId, 'room');
     if (areSuspectsWaiting || isSpread) this.isStartLimited = true;
     if (isLimitReached || isStartLimited || areSuspectsWaiting || isSpread) this.limitedPoolIds.add(poolId);
     else this.limitedPoolIds.delete(poolId);
@@ -260,7 +265,7 @@
 
   /** Sends a recorded start, unless it has become obsolete in the meantime. */
   private send({ record }: OpenJob, run: TaskRun): void {
-    const { fleet, writer, state, counters, advice } = this.options;
+    const { fleet, writer, state, counters, advice, loadReport } = this.options;
     const session = fleet.get(run.workerId);
     const isSameReadyWorker =
       session?.entry.startedAtMs === run.workerStartedAtMs && session.entry.state === 'ready';
@@ -272,6 +277,7 @@
       return;
     }
     counters.increment('placement.started');
+    loadReport.recordStart();
     this.options.logger.info(LOG_EVENTS.taskStarted, { ...run.task, run: run.run, workerId: run.workerId });
     session.start({
       task: run.task,
