--- a/placement/instance_controller.ts
+++ b/placement/instance_controller.ts
@@ -156,13 +156,13 @@
     }
   }
 
-  /** See {@link InstanceDirectory.isWorkerAbsent}; reads the list soon. */
-  isWorkerAbsent(workerId: string, sinceMs: number): boolean {
+  /** Asks for a read of the list, and returns what {@link InstanceDirectory.isWorkerAbsent} says until then. */
+  checkWorkerAbsent(workerId: string, sinceMs: number): boolean {
     this.directory.readSoon();
     return this.directory.isWorkerAbsent(workerId, sinceMs);
   }
 
-  /** Retires the sessions of unreachable workers whose instance has crashed or runs another worker. */
+  /** Retires the sessions of unreachable workers whose instance has crashed, was removed, or runs another worker. */
   private retireStoppedWorkers(): void {
     for (const session of [...this.options.fleet.all()]) {
       const unreachableSinceMs = session.unreachableSinceMs();
--- a/placement/leader_parts.ts
+++ b/placement/leader_parts.ts
@@ -193,7 +193,7 @@
     leaseEnds,
     lostRunLog,
     maxLeaseMs: maxWorkerLeaseMs,
-    isWorkerAbsent: (workerId, sinceMs) => instanceController.isWorkerAbsent(workerId, sinceMs),
+    checkWorkerAbsent: (workerId, sinceMs) => instanceController.checkWorkerAbsent(workerId, sinceMs),
     onRunLost,
   });
   const isolation = new SuspectIsolation({ state, fleet });
--- a/placement/lease_end_keeper.ts
+++ b/placement/lease_end_keeper.ts
@@ -25,7 +25,10 @@
   readonly workerStartedAtMs: number;
   /** When this process last requested the lease, or took over from the leader that may have done so. */
   readonly requestedAtMs: number;
-  /** From when on nothing runs on the incarnation, unless the lease is requested again. */
+  /**
+   * From when on nothing runs on the incarnation, unless the lease is requested again. An
+   * earlier leader that is cut off from the store together with the worker may do so.
+   */
   readonly endsAtMs: number;
 }
 
--- a/placement/unrenewed_leases.ts
+++ b/placement/unrenewed_leases.ts
@@ -21,7 +21,7 @@
   readonly lostRunLog: LostRunLog;
   readonly maxLeaseMs: number;
   /** Whether the instance list shows since a time on the monotonic clock that no instance runs the worker. */
-  readonly isWorkerAbsent: (workerId: string, sinceMs: number) => boolean;
+  readonly checkWorkerAbsent: (workerId: string, sinceMs: number) => boolean;
   /** Called when a run no longer exists and its outcome will never be known. */
   readonly onRunLost: (result: RunResult) => void;
 }
@@ -36,8 +36,8 @@
 
 /**
  * Reports runs as lost whose worker is not registered, once its lease has certainly ended
- * or no instance runs the worker any more, and stores the ends of such leases and of those of unreachable workers, so that a
- * successor waits only for the rest.
+ * or no instance runs the worker any more. Stores the ends of such leases and of those of
+ * unreachable workers, so that a successor waits only for the rest.
  *
  * @example
  * ```ts
@@ -83,7 +83,7 @@
       this.reportLost(workerId, currentRuns, 'lease of an unregistered worker expired');
       return;
     }
-    if (this.options.isWorkerAbsent(workerId, lease.awaitedSinceMs)) {
+    if (this.options.checkWorkerAbsent(workerId, lease.awaitedSinceMs)) {
       this.awaited.delete(workerId);
       this.reportLost(workerId, currentRuns, 'stopped according to the platform');
       return;
