--- a/placement/leader_parts.ts
+++ b/placement/leader_parts.ts
@@ -11,6 +11,7 @@
 import { AdaptiveStartLimiter, type StartLimiter } from '../scheduling/start_limiter';
 import type { WorkerGateway } from '../scheduling/worker_gateway';
 import type { RowChange, RowStore } from '../store/row_store';
+import { StoreClock } from '../store/store_clock';
 import { TableFollower } from '../store/table_follower';
 import type { Counters } from '../telemetry/counters';
 import type { Logger } from '../telemetry/logger';
@@ -22,11 +23,14 @@
 import { JobIntake } from './job_intake';
 import type { AcquiredLease } from './leader_election';
 import { LeaderReporter } from './leader_reporter';
+import { LeaseEndKeeper } from './lease_end_keeper';
+import { LostRunLog } from './lost_run_log';
 import { PlacementState } from './placement_state';
 import { PoolDemandTracker } from './pool_demand';
 import { RunResultHandler } from './run_result_handler';
 import type { SessionListener } from './session_listener';
 import { TaskPlacer } from './task_placer';
+import { UnrenewedLeases } from './unrenewed_leases';
 import { WorkerFleet } from './worker_fleet';
 import { WorkerHealth } from './worker_health';
 import { WorkerTime } from './worker_time';
@@ -91,6 +95,9 @@
   readonly writer: FencedWriter;
   readonly state: PlacementState;
   readonly fleet: WorkerFleet;
+  readonly lostRunLog: LostRunLog;
+  readonly leaseEnds: LeaseEndKeeper;
+  readonly unrenewedLeases: UnrenewedLeases;
   readonly health: WorkerHealth;
   readonly resultHandler: RunResultHandler;
   readonly limiter: StartLimiter;
@@ -117,9 +124,11 @@
 export function createLeaderParts(options: PlacementLeaderOptions, hooks: LeaderHooks): LeaderParts {
   const { store, clock, lease, leaseMs, gateway, counters, maxWorkerLeaseMs, rules } = options;
   const { onRunLost, onPlanNeeded, onPoolChanged, onWorkerChanges } = hooks;
+  const storeClock = new StoreClock();
   const writer = new FencedWriter({
     store,
     clock,
+    storeClock,
     lease,
     leaseMs,
     onLost: () => {
@@ -127,7 +136,11 @@
     },
   });
   const state = new PlacementState({ clock, writer, counters, rules });
+  const lostRunLog = new LostRunLog(options);
+  const leaseEnds = new LeaseEndKeeper({ store, clock, storeClock, writer });
   const fleet = new WorkerFleet({
+    lostRunLog,
+    leaseEnds,
     clock,
     gateway,
     listener: hooks.sessionListener,
@@ -162,6 +175,16 @@
       hooks.onFenced('a command to an instance was fenced');
     },
   });
+  const unrenewedLeases = new UnrenewedLeases({
+    clock,
+    state,
+    fleet,
+    leaseEnds,
+    lostRunLog,
+    maxLeaseMs: maxWorkerLeaseMs,
+    isWorkerAbsent: (workerId, sinceMs) => instanceController.isWorkerAbsent(workerId, sinceMs),
+    onRunLost,
+  });
   const advice = new AdviceCache({ clock, advice: options.advice, counters, onResponse: onPlanNeeded });
   const placer = new TaskPlacer({
     ...options,
@@ -209,6 +232,9 @@
     writer,
     state,
     fleet,
+    lostRunLog,
+    leaseEnds,
+    unrenewedLeases,
     health,
     resultHandler,
     limiter,
--- a/placement/worker_fleet.ts
+++ b/placement/worker_fleet.ts
@@ -1,9 +1,10 @@
-/** Sessions with all registered workers, and the expiry of runs on workers that are not registered. */
+/** Sessions with all registered workers. */
 import type { Clock } from '../kernel/clock';
 import type { RunResult, TaskRun } from '../scheduling/job_record';
 import type { WorkerEntry } from '../scheduling/worker_entry';
 import type { WorkerGateway } from '../scheduling/worker_gateway';
-import { WorkerLease } from './worker_lease';
+import type { LeaseEndKeeper } from './lease_end_keeper';
+import type { LostRunLog, LostRunReason } from './lost_run_log';
 import { SessionListener } from './session_listener';
 import { WorkerSession } from './worker_session';
 
@@ -27,6 +28,8 @@
   readonly recordedRuns: (workerId: string) => readonly TaskRun[];
   /** Called when a run no longer exists and its outcome will never be known. */
   readonly onRunLost: (result: RunResult) => void;
+  readonly lostRunLog: LostRunLog;
+  readonly leaseEnds: LeaseEndKeeper;
 }
 
 export class WorkerFleet {
@@ -81,19 +84,19 @@
   }
 
   /** Closes the session of an incarnation that has been replaced and reports its runs as lost. */
-  remove(session: WorkerSession): void {
+  remove(session: WorkerSession, reason: LostRunReason = 'replaced by another incarnation'): void {
     const { workerId } = session.worker;
     if (this.sessions.get(workerId) !== session) return;
     this.deleteSession(session);
     session.close();
-    this.reportLostRuns(this.options.recordedRuns(workerId));
+    this.reportLostRuns(this.options.recordedRuns(workerId), reason);
   }
 
   /** Closes the session of an incarnation that has certainly stopped and ignores its entry from now on. */
   retire(session: WorkerSession): void {
     const ignoredUntilMs = this.options.clock.monotonicMs() + IGNORE_ENTRY_MS;
     this.retired.set(session.worker.workerId, { startedAtMs: session.entry.startedAtMs, ignoredUntilMs });
-    this.remove(session);
+    this.remove(session, 'stopped according to the platform');
   }
 
   private isRetired({ workerId, startedAtMs }: WorkerEntry): boolean {
@@ -116,18 +119,6 @@
     }
   }
 
-  /** Reports runs as lost whose worker is not registered, once its lease has certainly expired. */
-  expireOrphans(runs: readonly TaskRun[]): void {
-    const { clock, maxLeaseMs } = this.options;
-    const nowMs = clock.monotonicMs();
-    const lease = new WorkerLease({ maxLeaseMs, nowMs });
-    const orphans = runs.filter(({ workerId }) => !this.sessions.has(workerId));
-    if (orphans.length === 0) return;
-    clock.schedule(lease.expiredAtMs() - nowMs, () => {
-      this.reportLostRuns(orphans.filter(({ workerId }) => !this.sessions.has(workerId)));
-    });
-  }
-
   close(): void {
     for (const session of this.sessions.values()) session.close();
     this.sessions.clear();
@@ -154,8 +145,9 @@
   }
 
   private open(entry: WorkerEntry): void {
-    const { clock, gateway, listener, fencingToken, maxLeaseMs, mayAct } = this.options;
-    const runs = this.options.recordedRuns(entry.workerId);
+    const { clock, gateway, listener, fencingToken, maxLeaseMs, mayAct, leaseEnds } = this.options;
+    const { workerId, startedAtMs } = entry;
+    const runs = this.options.recordedRuns(workerId);
     const isOfIncarnation = (run: TaskRun): boolean =>
       entry.startedAtMs === 0 || run.workerStartedAtMs === entry.startedAtMs;
     const session = new WorkerSession({
@@ -167,10 +159,18 @@
       mayAct,
       entry,
       inherited: runs.filter(isOfIncarnation),
+      knownLeaseEndMs: leaseEnds.endOf(workerId, startedAtMs),
+      mayRequestLease: () => leaseEnds.mayRequest(workerId),
+      onLeaseWithheld: (onReleased) => {
+        leaseEnds.release(workerId, onReleased);
+      },
     });
     this.addSession(session);
     // The runs of earlier incarnations under this id no longer exist.
-    this.reportLostRuns(runs.filter((run) => !isOfIncarnation(run)));
+    this.reportLostRuns(
+      runs.filter((run) => !isOfIncarnation(run)),
+      'replaced by another incarnation',
+    );
     void session.run();
   }
 
@@ -180,7 +180,13 @@
     this.open(entry);
   }
 
-  private reportLostRuns(runs: readonly TaskRun[]): void {
+  private reportLostRuns(runs: readonly TaskRun[], reason: LostRunReason): void {
+    for (const workerId of new Set(runs.map((run) => run.workerId)))
+      this.options.lostRunLog.record(
+        workerId,
+        reason,
+        runs.filter((run) => run.workerId === workerId),
+      );
     for (const { task, run, workerId } of runs) {
       this.options.onRunLost({ task, run, workerId, outcome: 'lost', checkpoint: '' });
     }
