--- a/placement/_placement_harness.ts
+++ b/placement/_placement_harness.ts
@@ -7,6 +7,7 @@
 import type { FleetRules, QueueRule } from '../scheduling/fleet_rules';
 import {
   InstanceOperations,
+  type InstanceInventory,
   type InstanceStatus,
   type CommandIssuer,
   type InstanceCommandResult,
@@ -98,8 +99,8 @@
   readonly issuers: CommandIssuer[] = [];
   readonly instances = new Map<string, InstanceStatus>();
 
-  override list(): Promise<readonly InstanceStatus[]> {
-    return Promise.resolve([...this.instances.values()]);
+  override list(): Promise<InstanceInventory> {
+    return Promise.resolve({ instances: [...this.instances.values()], isComplete: true });
   }
 
   override move(instanceId: string, poolId: string, issuer: CommandIssuer): Promise<InstanceCommandResult> {
@@ -152,6 +153,18 @@
     return worker;
   }
 
+  /** Crashes a worker; it is back under its id, as another incarnation, after `downMs`. */
+  crash(workerId: string, downMs = 3_000): void {
+    const worker = this.gateway.workers.get(workerId);
+    if (worker?.isReachable !== true) return;
+    worker.isReachable = false;
+    worker.runs.clear();
+    const { entry } = worker;
+    this.clock.schedule(downMs, () => {
+      void this.addWorker(workerId, { ...entry, startedAtMs: entry.startedAtMs + 1 });
+    });
+  }
+
   async register(entry: WorkerEntry): Promise<void> {
     await this.writeEntry(entry.workerId, JSON.stringify(entry));
   }
--- a/placement/leader_parts.ts
+++ b/placement/leader_parts.ts
@@ -14,6 +14,7 @@
 import { StoreClock } from '../store/store_clock';
 import { TableFollower } from '../store/table_follower';
 import type { Counters } from '../telemetry/counters';
+import { logFollowerFailures } from '../telemetry/follower_failures';
 import type { Logger } from '../telemetry/logger';
 import { AdviceCache } from './advice_cache';
 import { BurstMemoryKeeper } from './burst_memory';
@@ -25,12 +26,16 @@
 import { LeaderReporter } from './leader_reporter';
 import { LeaseEndKeeper } from './lease_end_keeper';
 import { LostRunLog } from './lost_run_log';
+import { LoadReport } from './load_report';
 import { PlacementState } from './placement_state';
 import { PoolDemandTracker } from './pool_demand';
 import { RunResultHandler } from './run_result_handler';
+import { SuspectIsolation } from './suspect_isolation';
 import type { SessionListener } from './session_listener';
 import { TaskPlacer } from './task_placer';
 import { UnrenewedLeases } from './unrenewed_leases';
+import type { WorkerCrash } from './worker_crash';
+import { WorkerCrashHandler } from './worker_crash_handler';
 import { WorkerFleet } from './worker_fleet';
 import { WorkerHealth } from './worker_health';
 import { WorkerTime } from './worker_time';
@@ -84,6 +89,8 @@
   readonly onFenced: (reason: string) => void;
   /** A run no longer exists, or its start was not sent. */
   readonly onRunLost: (result: RunResult) => void;
+  /** A worker has crashed; its runs are reported as lost after this. */
+  readonly onWorkerCrashed: (crash: WorkerCrash) => void;
   /** All pools have to be planned again. */
   readonly onPlanNeeded: () => void;
   /** A pool has to be planned again. */
@@ -100,7 +107,9 @@
   readonly unrenewedLeases: UnrenewedLeases;
   readonly health: WorkerHealth;
   readonly resultHandler: RunResultHandler;
+  readonly crashHandler: WorkerCrashHandler;
   readonly limiter: StartLimiter;
+  readonly loadReport: LoadReport;
   readonly demand: PoolDemandTracker;
   readonly burstMemory: BurstMemoryKeeper;
   readonly reporter: LeaderReporter;
@@ -148,15 +157,17 @@
     maxLeaseMs: maxWorkerLeaseMs,
     mayAct: () => writer.isValid(),
     recordedRuns: (workerId) => state.runsOn(workerId),
+    onCrash: hooks.onWorkerCrashed,
     onRunLost,
   });
   const health = new WorkerHealth();
-  const resultHandler = new RunResultHandler({ ...options, state, fleet, health });
+  const loadReport = new LoadReport();
+  const resultHandler = new RunResultHandler({ ...options, state, fleet, health, loadReport });
   const limiter = new AdaptiveStartLimiter(options.processors);
   const forecast = new BurstForecast();
   const burstMemory = new BurstMemoryKeeper({ store, writer, forecast });
   const demand = new PoolDemandTracker({ clock, state, rules, forecast });
-  const reporter = new LeaderReporter({ ...options, limiter, writer, state, fleet, demand });
+  const reporter = new LeaderReporter({ ...options, limiter, loadReport, writer, state, fleet, demand });
   const sweep = new EndedJobSweep({ ...options, writer, jobs: state.jobs });
   const instanceController = new InstanceController({
     ...options,
@@ -182,9 +193,17 @@
     leaseEnds,
     lostRunLog,
     maxLeaseMs: maxWorkerLeaseMs,
-    isWorkerAbsent: (workerId, sinceMs) => instanceController.isWorkerAbsent(workerId, sinceMs),
+    checkWorkerAbsent: (workerId, sinceMs) => instanceController.checkWorkerAbsent(workerId, sinceMs),
     onRunLost,
   });
+  const isolation = new SuspectIsolation({ state, fleet });
+  const crashHandler = new WorkerCrashHandler({
+    ...options,
+    state,
+    fleet,
+    isolation,
+    isBeingStopped: (session) => instanceController.isDraining(session),
+  });
   const advice = new AdviceCache({ clock, advice: options.advice, counters, onResponse: onPlanNeeded });
   const placer = new TaskPlacer({
     ...options,
@@ -195,7 +214,9 @@
     instanceController,
     demand,
     limiter,
+    loadReport,
     advice,
+    isolation,
     onNotSent: onRunLost,
   });
   const intake = new JobIntake({
@@ -209,12 +230,14 @@
       resultHandler.stopRuns(job);
     },
   });
+  const onFailure = logFollowerFailures(options);
   const jobFollower = new TableFollower({
     store,
     clock,
     table: JOB_TABLE,
     partitions: JOB_PARTITIONS,
     waitMs: JOB_FEED_WAIT_MS,
+    onFailure,
     onChanges: (changes) => {
       intake.handleChanges(changes);
     },
@@ -227,6 +250,7 @@
     waitMs: WORKER_FEED_WAIT_MS,
     pauseMs: WORKER_FEED_PAUSE_MS,
     onChanges: onWorkerChanges,
+    onFailure,
   });
   return {
     writer,
@@ -237,7 +261,9 @@
     unrenewedLeases,
     health,
     resultHandler,
+    crashHandler,
     limiter,
+    loadReport,
     demand,
     burstMemory,
     reporter,
--- a/placement/leader_reporter.ts
+++ b/placement/leader_reporter.ts
@@ -6,10 +6,12 @@
 import { LOG_EVENTS } from '../telemetry/events_catalogue';
 import type { Logger } from '../telemetry/logger';
 import type { FencedWriter } from './fenced_writer';
+import type { LoadReport } from './load_report';
 import type { PlacementState } from './placement_state';
 import type { PoolDemandTracker, PoolUsage } from './pool_demand';
 import { encodeQueueStatus, queueStatusAddress } from './queue_status';
 import type { WorkerFleet } from './worker_fleet';
+import type { WorkerSession } from './worker_session';
 
 /**
  * Interval at which changed numbers of pending jobs are written, in milliseconds.
@@ -27,6 +29,7 @@
   readonly fleet: WorkerFleet;
   readonly demand: PoolDemandTracker;
   readonly limiter: StartLimiter;
+  readonly loadReport: LoadReport;
   readonly rules: () => FleetRules | null;
   readonly logger: Logger;
 }
@@ -45,7 +48,7 @@
   }
 
   private logSummary(): void {
-    const { clock, demand, fleet, state, limiter, logger } = this.options;
+    const { clock, demand, fleet, state, limiter, loadReport, logger } = this.options;
     const nowMs = clock.monotonicMs();
     const rules = this.options.rules();
     if (rules === null || nowMs - this.lastSummaryAtMs < SUMMARY_INTERVAL_MS) return;
@@ -67,10 +70,12 @@
     ]);
     const startLimit = limiter.limitPerSecond();
     logger.info(LOG_EVENTS.poolSummary, {
-      startLimitPerSecond: Number.isFinite(startLimit) ? Math.round(startLimit) : null,
+      startLimitPerSecond: limiter.isLimiting() ? Math.round(startLimit) : null,
       pools,
       teams,
     });
+    const { user, system } = process.cpuUsage();
+    logger.info(LOG_EVENTS.placementLoad, loadReport.take((user + system) / 1_000, nowMs));
   }
 
   private writeQueueStatus(): void {
@@ -97,9 +102,13 @@
   return usageByPool;
 }
 
-/** Mean capacity of a worker. */
-export function meanCapacity(fleet: WorkerFleet): Resources {
-  const capacities = [...fleet.all()].map(({ entry }) => entry.capacity);
+/**
+ * Mean capacity of the workers that respond, or of all while none does. Entries of workers
+ * that do not exist may claim any capacity.
+ */
+export function meanCapacity(sessions: readonly Pick<WorkerSession, 'entry' | 'isReachable'>[]): Resources {
+  const reachable = sessions.filter((session) => session.isReachable());
+  const capacities = (reachable.length > 0 ? reachable : sessions).map(({ entry }) => entry.capacity);
   const total = capacities.reduce(addResources, NO_RESOURCES);
   return combineResources(total, NO_RESOURCES, (sum) => sum / Math.max(1, capacities.length));
 }
--- a/placement/placement_leader.ts
+++ b/placement/placement_leader.ts
@@ -6,13 +6,14 @@
 import { PLACEMENT_PARTITION, PROGRESS_TABLE } from '../scheduling/job_rows';
 import { UnusableRowError } from '../scheduling/platform_row_codec';
 import type { WorkerEntry } from '../scheduling/worker_entry';
-import type { ActiveRun, Rejection } from '../scheduling/worker_gateway';
+import type { ActiveRun } from '../scheduling/worker_gateway';
 import type { RowChange } from '../store/row_store';
 import { LOG_EVENTS } from '../telemetry/events_catalogue';
+import { logCapacityChange } from './capacity_changes';
 import { evacuate } from './evacuation';
 import { createLeaderParts, type LeaderParts, type PlacementLeaderOptions } from './leader_parts';
 import { meanCapacity, poolUsage } from './leader_reporter';
-import { SessionListener, type ObservedEndedRun } from './session_listener';
+import { SessionListener, type ObservedEndedRun, type StartFailure } from './session_listener';
 import type { SessionRun } from './session_run';
 import { observedRuns } from './straggler_detection';
 import { stopStuckRuns } from './stuck_runs';
@@ -28,6 +29,13 @@
 /** Delay of the next planning pass while the number of starts is limited, in milliseconds. */
 const LIMITED_PLAN_DELAY_MS = 25;
 
+/**
+ * Pause between two reports of ended runs from one worker while the number of starts is
+ * limited, in milliseconds. A call costs the leader as much as a start; the runs that
+ * end within the pause share one, and the targets of jobs are several times longer.
+ */
+const BUSY_REPORT_PAUSE_MS = 150;
+
 /** Interval of the checks that depend only on the passage of time, in milliseconds. */
 const TICK_MS = 250;
 
@@ -54,6 +62,9 @@
       onRunLost: (result) => {
         this.handleLostRun(result);
       },
+      onWorkerCrashed: (crash) => {
+        if (!this.isStopped) this.parts.crashHandler.handle(crash);
+      },
       onPlanNeeded: () => {
         this.schedulePlan();
       },
@@ -163,7 +174,7 @@
     for (const { task } of endedRuns) this.schedulePlanOfJob(task.jobId);
   }
 
-  override onStartRejected(session: WorkerSession, run: SessionRun, reason: Rejection | 'not_reached'): void {
+  override onStartRejected(session: WorkerSession, run: SessionRun, reason: StartFailure): void {
     this.options.counters.increment('placement.start_rejected', reason);
     this.options.logger.warn(LOG_EVENTS.startRejected, {
       jobId: run.task.jobId,
@@ -186,6 +197,7 @@
   override onProgress(session: WorkerSession, activeRuns: readonly ActiveRun[]): void {
     if (this.isStopped) return;
     session.setFrequentPolling(this.mustPollFrequently(session));
+    session.setReportPause(this.parts.limiter.isLimiting() ? BUSY_REPORT_PAUSE_MS : 0);
     for (const { task, run, checkpoint } of activeRuns) {
       const record = this.parts.state.jobs.get(task.jobId)?.record;
       if (record === undefined || checkpoint === '') continue;
@@ -238,7 +250,11 @@
         if (!listedIds.has(worker.workerId)) this.parts.fleet.update(worker.workerId, null);
       }
     }
-    for (const { key, value } of changes) this.parts.fleet.update(key, this.decodeEntry(key, value));
+    for (const { key, value } of changes) {
+      const entry = this.decodeEntry(key, value);
+      logCapacityChange(this.parts.fleet.get(key), entry, { ...this.options, state: this.parts.state });
+      this.parts.fleet.update(key, entry);
+    }
     this.schedulePlan();
   }
 
@@ -284,14 +300,34 @@
       this.planTimer = null;
       const nowMs = clock.monotonicMs();
       this.parts.limiter.recordDelay(nowMs - dueAtMs, nowMs);
-      this.plan();
+      this.parts.loadReport.recordPass(nowMs - dueAtMs);
+      this.runStep(() => {
+        this.plan();
+      });
     });
   }
 
+  /**
+   * Runs a step that a timer began. After an unexpected error the state may be incomplete;
+   * this process stops as the leader, and the next leader reads the state anew.
+   */
+  private runStep(step: () => void): void {
+    try {
+      step();
+    } catch (error) {
+      const reason = error instanceof Error ? error.stack : String(error);
+      this.options.counters.increment('placement.step_failed');
+      this.options.logger.error(LOG_EVENTS.leaderStepFailed, { epoch: this.options.lease.row.epoch, reason });
+      this.loseLeadership('a step failed with an unexpected error');
+    }
+  }
+
   private tick(): void {
     if (this.isStopped) return;
     this.tickTimer = this.options.clock.schedule(TICK_MS, () => {
-      this.tick();
+      this.runStep(() => {
+        this.tick();
+      });
     });
     if (this.parts.writer.isStoreUnreachable()) this.options.onStoreUnreachable();
     if (!this.parts.writer.isValid()) this.parts.writer.renewSoon();
@@ -329,7 +365,7 @@
     this.parts.placer.recordWaiting(rules, this.parts.workerTime.unixMs());
     this.parts.burstMemory.update(this.parts.instanceController.instancesByPool(rules));
     const capacity = {
-      meanCapacity: meanCapacity(this.parts.fleet),
+      meanCapacity: meanCapacity([...this.parts.fleet.all()]),
       instanceCount: this.parts.instanceController.instanceCount(),
     };
     this.parts.demand.update(rules, capacity, poolUsage(this.parts.fleet, this.parts.state));
