--- a/placement/lease_end_rows.ts
+++ b/placement/lease_end_rows.ts
@@ -22,7 +22,7 @@
   return JSON.stringify(row);
 }
 
-/** Returns `null` for a row that cannot be decoded; its worker is then waited for anew. */
+/** Returns `null` for a row that cannot be decoded; the full lease of its worker is then awaited. */
 export function decodeLeaseEnd(value: string): LeaseEndRow | null {
   try {
     const parsed = leaseEndSchema.safeParse(JSON.parse(value));
--- a/placement/placement_leader.ts
+++ b/placement/placement_leader.ts
@@ -309,7 +309,7 @@
 
   /**
    * Runs a step that a timer began. After an unexpected error the state may be incomplete;
-   * this process stops as the leader, and the next leader reads the state anew.
+   * this process stops as the leader, and the next leader reads the state again.
    */
   private runStep(step: () => void): void {
     try {
