Show that a task of a cancelled job is never stopped

Cause: the stop of a run is dropped if there is no session with its worker, and not repeated when the worker's entry is back.

--- a/review/lib/deployment.ts
+++ b/review/lib/deployment.ts
@@ -225,11 +225,13 @@
 
   /** Lines of the processes' logs that contain a text. */
   logLines(text: string): readonly string[] {
-    return this.fronts.flatMap(({ name }) =>
-      readFileSync(path.join(this.folder, `${name}.log`), 'utf8')
-        .split('\n')
-        .filter((line) => line.includes(text)),
-    );
+    return this.fronts.flatMap((front) => this.logLinesOf(front, text));
+  }
+
+  logLinesOf({ name }: Front, text: string): readonly string[] {
+    return readFileSync(path.join(this.folder, `${name}.log`), 'utf8')
+      .split('\n')
+      .filter((line) => line.includes(text));
   }
 
   /** Ends all processes and stand-ins, and writes what happened to a file. */
--- a/review/lib/worker_service.ts
+++ b/review/lib/worker_service.ts
@@ -6,6 +6,9 @@
 export const HEARTBEAT_MS = 1_500;
 /** Longest lease, in milliseconds (`hold-max-ms`). */
 const MAX_HOLD_MS = 10_000;
+/** An entry is removed after so many intervals without one. */
+const EXPIRY_HEARTBEATS = 3;
+const BEFORE_BEAT_MS = 100;
 const MAX_WAIT_MS = 2_000;
 const MAX_LISTED_ENDS = 500;
 
@@ -76,6 +79,9 @@
   private life: Life | null = null;
   private heartbeat: NodeJS.Timeout | null = null;
   private sequence = 0;
+  private isStoreCut = false;
+  private lastBeatAtMs = 0;
+  private expiry: NodeJS.Timeout | null = null;
   private waiters: (() => void)[] = [];
 
   constructor(readonly options: WorkerServiceOptions) {}
@@ -118,6 +124,7 @@
   /** Ends the life as a crash does: all connections break, and nothing that ran goes on. */
   crash(): void {
     const { life } = this;
+    if (this.expiry !== null) clearTimeout(this.expiry);
     if (life === null) return;
     this.options.record(`worker ${this.options.workerId} crashes with ${life.active.size} runs`);
     this.life = null;
@@ -131,14 +138,42 @@
     this.service.stop();
   }
 
+  /**
+   * Cuts the worker off from the store, or ends that; it works on and answers calls. Its entry is
+   * removed after three heartbeat intervals of silence, and is back with the next heartbeat that arrives.
+   */
+  setStoreCut(isCut: boolean): void {
+    this.isStoreCut = isCut;
+    this.options.record(`worker ${this.options.workerId} ${isCut ? 'is cut off from' : 'reaches'} the store`);
+    if (this.expiry !== null) clearTimeout(this.expiry);
+    if (!isCut) return;
+    this.expiry = setTimeout(
+      () => {
+        this.removeEntry();
+      },
+      EXPIRY_HEARTBEATS * HEARTBEAT_MS - (performance.now() - this.lastBeatAtMs),
+    );
+  }
+
+  /** Resolves shortly before the next heartbeat. */
+  async awaitOldEntry(): Promise<void> {
+    await pause(this.lastBeatAtMs + HEARTBEAT_MS - BEFORE_BEAT_MS - performance.now());
+  }
+
+  private removeEntry(): void {
+    this.options.record(`the entry of worker ${this.options.workerId} is removed`);
+    this.options.writeEntry({ table: 'servers', partition: '', key: this.options.workerId, value: null });
+  }
+
   /** Like a crash, and the worker's entry is removed. */
   leave(): void {
     this.crash();
-    this.options.writeEntry({ table: 'servers', partition: '', key: this.options.workerId, value: null });
+    this.removeEntry();
   }
 
   private writeEntry(): void {
-    if (this.life === null) return;
+    if (this.life === null || this.isStoreCut) return;
+    this.lastBeatAtMs = performance.now();
     const { workerId, pool, machine, zone, rack, cpu, memMb } = this.options;
     this.sequence += 1;
     if (this.sequence === 1) this.options.record(`worker ${workerId} writes its first entry`);
