--- a/review/lib/deployment.ts
+++ b/review/lib/deployment.ts
@@ -244,7 +244,8 @@
     this.machineService.service.stop();
     await this.agent.destroy();
     writeFileSync(recordFile, `${this.lines.join('\n')}\n`);
-    rmSync(this.folder, { recursive: true, force: true });
+    if (process.env.KEEP !== '1') rmSync(this.folder, { recursive: true, force: true });
+    else console.log(this.folder);
   }
 
   private writeConfiguration(version: number): void {
