--- a/review/lib/deployment.ts
+++ b/review/lib/deployment.ts
@@ -244,8 +244,7 @@
     this.machineService.service.stop();
     await this.agent.destroy();
     writeFileSync(recordFile, `${this.lines.join('\n')}\n`);
-    if (process.env.KEEP !== '1') rmSync(this.folder, { recursive: true, force: true });
-    else console.log(this.folder);
+    rmSync(this.folder, { recursive: true, force: true });
   }
 
   private writeConfiguration(version: number): void {
