--- a/review/lib/worker_service.ts
+++ b/review/lib/worker_service.ts
@@ -80,6 +80,8 @@
   private heartbeat: NodeJS.Timeout | null = null;
   private sequence = 0;
   private isStoreCut = false;
+  private greyShare = 0;
+  private greyCount = 0;
   private lastBeatAtMs = 0;
   private expiry: NodeJS.Timeout | null = null;
   private waiters: (() => void)[] = [];
@@ -155,6 +157,19 @@
     );
   }
 
+  /** From now on the worker answers this share of its calls with 503, and does nothing for them. */
+  setGrey(share: number): void {
+    this.greyShare = share;
+    this.options.record(`worker ${this.options.workerId} rejects ${share * 100} % of its calls`);
+  }
+
+  /** Spreads the rejected calls evenly. */
+  private rejectsNext(): boolean {
+    const before = Math.floor(this.greyCount * this.greyShare);
+    this.greyCount += 1;
+    return Math.floor(this.greyCount * this.greyShare) > before;
+  }
+
   /** Resolves shortly before the next heartbeat. */
   async awaitOldEntry(): Promise<void> {
     await pause(this.lastBeatAtMs + HEARTBEAT_MS - BEFORE_BEAT_MS - performance.now());
@@ -196,6 +211,10 @@
 
   private async answer(call: ServiceCall): Promise<ServiceReply> {
     const { life } = this;
+    if (this.greyShare > 0 && this.rejectsNext()) {
+      this.options.record(`worker ${this.options.workerId} answers ${call.path} with 503`);
+      return { status: 503, body: {} };
+    }
     if (life === null || call.headers['expect-instance'] !== this.options.workerId)
       return { status: 421, body: {} };
     const token = Number(call.body['fence-token'] ?? 0);
