--- a/review/lib/case_main.ts
+++ b/review/lib/case_main.ts
@@ -17,6 +17,16 @@
 export async function runCase({ deployment, play }: ReviewCase): Promise<void> {
   const recordFile = path.join(process.argv[2] ?? '.', 'record.txt');
   let status = 2;
+  let isEnding = false;
+  const end = async (): Promise<void> => {
+    if (isEnding) return;
+    isEnding = true;
+    await deployment.close(recordFile);
+  };
+  for (const signal of ['SIGTERM', 'SIGINT'] as const)
+    process.once(signal, () => {
+      void end().then(() => process.exit(2));
+    });
   try {
     await deployment.begin();
     const broken = await play(process.env.TROUBLE !== '0');
@@ -27,7 +37,7 @@
   } catch (error) {
     process.stderr.write(`${error instanceof Error ? (error.stack ?? error.message) : String(error)}\n`);
   } finally {
-    await deployment.close(recordFile);
+    await end();
   }
   process.stdout.write(`${['held', 'broken', 'could not run'][status] ?? ''}\n`);
   process.exit(status);
--- a/review/lib/deployment.ts
+++ b/review/lib/deployment.ts
@@ -6,7 +6,7 @@
 import path from 'node:path';
 import { Agent, request } from 'undici';
 import { pause } from './http_service';
-import { MachineService, type Machine, type MachineOrder } from './machine_service';
+import { MachineService, type Machine } from './machine_service';
 import { StoreService } from './store_service';
 import { WorkerService, type ObservedRun } from './worker_service';
 
@@ -34,7 +34,6 @@
   readonly runTimeMs: (task: string, spec: string) => number | null;
   readonly maxAttempts?: number;
   readonly onStarted?: (run: ObservedRun) => void;
-  readonly onOrder?: (order: MachineOrder) => void;
 }
 
 export interface Front {
@@ -67,24 +66,14 @@
   });
   readonly machineService: MachineService;
   fronts: readonly Front[] = [];
-  /** When all processes had been in touch for `contact-ms`. */
-  readyAtMs = Infinity;
-  private readonly waves = new Map<number, readonly string[]>();
   private readonly agent = new Agent({ connections: 8 });
   private readonly folder = mkdtempSync(path.join(tmpdir(), 'review-'));
   private readonly beganAtMs = performance.now();
   private lastWorkerNumber = 0;
 
   constructor(private readonly options: DeploymentOptions) {
-    const { onOrder } = options;
-    this.machineService = new MachineService({
-      machines: this.machines,
-      nextWorker: (machine) => this.addWorker(machine.name, machine.pool, machine.worker.options.rack),
-      waveMachines: (wave) => this.waves.get(wave) ?? [],
-      record: (line) => {
-        this.record(line);
-      },
-      ...(onOrder === undefined ? {} : { onOrder }),
+    this.machineService = new MachineService(this.machines, (line) => {
+      this.record(line);
     });
   }
 
@@ -104,7 +93,7 @@
         number += 1;
         const name = `m-${String(number).padStart(2, '0')}`;
         const worker = await this.addWorker(name, pool.name, `r-${1 + (number % 3)}`);
-        this.machines.push({ name, pool: pool.name, state: 'up', worker, token: 0, upkeeps: new Set() });
+        this.machines.push({ name, pool: pool.name, worker });
       }
     const ports = await freePorts(3 * processes);
     this.fronts = Array.from({ length: processes }, (_, index) =>
@@ -113,7 +102,6 @@
     for (const front of this.fronts) this.startFront(front);
     await Promise.all(this.fronts.map((front) => this.awaitReady(front)));
     await pause(CONTACT_MS);
-    this.readyAtMs = performance.now();
     this.record('all processes are ready and in touch');
   }
 
@@ -142,13 +130,6 @@
     this.record(`process ${front.name} has ended`);
   }
 
-  /** The front machine whose process holds the lease of the leader, by the order that the platform saw last. */
-  frontNamed(name: string): Front {
-    const front = this.fronts.find((known) => known.name === name);
-    if (front === undefined) throw new Error(`There is no front machine ${name}.`);
-    return front;
-  }
-
   /** Hands a job in, again at the next process after a rejection or without an answer. Returns whether it was accepted. */
   async submit(jobId: string, body: object, first = 0): Promise<boolean> {
     for (let attempt = 0; attempt < 5; attempt += 1) {
@@ -201,18 +182,6 @@
     }
   }
 
-  /** Orders the upkeep of machines as the operator does. */
-  orderWave(wave: number, machines: readonly string[], cap: number, termS: number): void {
-    this.waves.set(wave, machines);
-    this.record(`operator orders wave ${wave}: ${machines.join(', ')}, cap ${cap}, ${termS} s`);
-    this.store.write({
-      table: 'op',
-      partition: '',
-      key: `wave/${wave}`,
-      value: JSON.stringify({ wave, machines, 'term-s': termS, cap }),
-    });
-  }
-
   /** All runs that all workers have seen, in order of their starts. */
   observedRuns(): readonly ObservedRun[] {
     return this.workers.flatMap(({ observed }) => observed).sort((a, b) => a.startedAtMs - b.startedAtMs);
--- a/review/lib/worker_service.ts
+++ b/review/lib/worker_service.ts
@@ -180,12 +180,6 @@
     this.options.writeEntry({ table: 'servers', partition: '', key: this.options.workerId, value: null });
   }
 
-  /** Like a crash, and the worker's entry is removed. */
-  leave(): void {
-    this.crash();
-    this.removeEntry();
-  }
-
   private writeEntry(): void {
     if (this.life === null || this.isStoreCut) return;
     this.lastBeatAtMs = performance.now();
