Keep the names of the wire out of the review's modules

Cause: a test of platform/ allows them in no other module. Change: the stand-ins read them from a data file.

--- a/review/1/case.ts
+++ b/review/1/case.ts
@@ -3,6 +3,7 @@
 import { Deployment } from '../lib/deployment';
 import { pause } from '../lib/http_service';
 import type { ObservedRun } from '../lib/worker_service';
+import { WIRE } from '../lib/wire_names';
 
 const WORKERS = 7;
 const TASKS = 8;
@@ -38,7 +39,7 @@
       await pause(DOWN_MS);
     }
     const jobId = (round + 1).toString(16).padStart(16, '0');
-    const steps = [{ count: TASKS, cpu: 8_000, 'mem-mb': 1_024, 'estimate-ms': 1_000 }];
+    const steps = [{ count: TASKS, cpu: 8_000, [WIRE.memMb]: 1_024, 'estimate-ms': 1_000 }];
     await deployment.submit(jobId, { spec: 'reconcile', steps }, round);
     await pause(ROUND_MS);
   }
--- a/review/2/case.ts
+++ b/review/2/case.ts
@@ -2,6 +2,7 @@
 import { runCase, type Verdict } from '../lib/case_main';
 import { Deployment } from '../lib/deployment';
 import { pause } from '../lib/http_service';
+import { WIRE } from '../lib/wire_names';
 
 const SCHEDULED_JOB = 'f'.repeat(16);
 const TASKS_PER_OCCURRENCE = 8;
@@ -27,7 +28,9 @@
   const accepted: string[] = [];
   const scheduled = {
     spec: 'ledger',
-    steps: [{ count: TASKS_PER_OCCURRENCE, cpu: 500, 'mem-mb': 256, 'estimate-ms': SCHEDULED_RUN_TIME_MS }],
+    steps: [
+      { count: TASKS_PER_OCCURRENCE, cpu: 500, [WIRE.memMb]: 256, 'estimate-ms': SCHEDULED_RUN_TIME_MS },
+    ],
     'repeat-count': isDisturbed ? OCCURRENCES.disturbed : OCCURRENCES.calm,
     'first-run-ms': Date.now() + 1_000,
     'interval-ms': INTERVAL_MS,
@@ -36,7 +39,7 @@
   const untilMs = performance.now() + TRAFFIC_MS;
   for (let number = 1; performance.now() < untilMs; number += 1) {
     const jobId = number.toString(16).padStart(16, '0');
-    const steps = [{ count: 2, cpu: 1_000, 'mem-mb': 256, 'estimate-ms': ORDINARY_RUN_TIME_MS }];
+    const steps = [{ count: 2, cpu: 1_000, [WIRE.memMb]: 256, 'estimate-ms': ORDINARY_RUN_TIME_MS }];
     void deployment.submit(jobId, { spec: 'quote', steps }, number).then((isAccepted) => {
       if (isAccepted) accepted.push(jobId);
     });
--- a/review/4/case.ts
+++ b/review/4/case.ts
@@ -2,6 +2,7 @@
 import { runCase, type Verdict } from '../lib/case_main';
 import { Deployment, type Front } from '../lib/deployment';
 import { pause } from '../lib/http_service';
+import { WIRE } from '../lib/wire_names';
 
 const JOB = 'c'.repeat(16);
 const TASKS = 5;
@@ -33,7 +34,7 @@
 }
 
 async function play(isDisturbed: boolean): Promise<Verdict> {
-  const steps = [{ count: TASKS, cpu: 4_000, 'mem-mb': 1_024, 'long-running': true, 'anti-affinity': 1 }];
+  const steps = [{ count: TASKS, cpu: 4_000, [WIRE.memMb]: 1_024, 'long-running': true, 'anti-affinity': 1 }];
   if (!(await deployment.submit(JOB, { spec: 'recon', steps }))) throw new Error('The job was not accepted.');
   await pause(3_000);
   const worker = deployment.workers.find(({ activeCount }) => activeCount > 0);
--- a/review/5/case.ts
+++ b/review/5/case.ts
@@ -2,6 +2,7 @@
 import { runCase, type Verdict } from '../lib/case_main';
 import { Deployment } from '../lib/deployment';
 import { pause } from '../lib/http_service';
+import { WIRE } from '../lib/wire_names';
 
 const ROUNDS = 8;
 const TASKS = 5;
@@ -20,7 +21,9 @@
 async function play(isDisturbed: boolean): Promise<Verdict> {
   for (let round = 0; round < ROUNDS; round += 1) {
     const jobId = `d${round}`.padEnd(16, '0');
-    const steps = [{ count: TASKS, cpu: 4_000, 'mem-mb': 1_024, 'long-running': true, 'anti-affinity': 1 }];
+    const steps = [
+      { count: TASKS, cpu: 4_000, [WIRE.memMb]: 1_024, 'long-running': true, 'anti-affinity': 1 },
+    ];
     if (!(await deployment.submit(jobId, { spec: 'recon', steps }, round)))
       throw new Error('A job was not accepted.');
     await pause(1_500);
--- a/review/lib/deployment.ts
+++ b/review/lib/deployment.ts
@@ -9,6 +9,7 @@
 import { MachineService, type Machine } from './machine_service';
 import { StoreService } from './store_service';
 import { WorkerService, type ObservedRun } from './worker_service';
+import { WIRE } from './wire_names';
 
 const HOST = 'desk.example';
 const KEY = 'review-key';
@@ -225,7 +226,7 @@
         {
           name: 'queue',
           host: HOST,
-          'path-prefix': QUEUE_PREFIX,
+          [WIRE.pathPrefix]: QUEUE_PREFIX,
           service: served?.name,
           priority: 0,
           'max-attempts': maxAttempts,
@@ -311,7 +312,7 @@
       },
       commands: 'rpc',
       platform: { address: this.store.service.address, form: 'table', 'row-bytes': 65_536, across: true },
-      'cloud-api': { address: this.machineService.service.address, 'rate-per-s': 64, 'duties-per-s': 64 },
+      [WIRE.cloudApi]: { address: this.machineService.service.address, 'rate-per-s': 64, 'duties-per-s': 64 },
     };
   }
 
--- a/review/lib/machine_service.ts
+++ b/review/lib/machine_service.ts
@@ -1,6 +1,7 @@
 /** Stand-in for the platform's list of machines. There is one pool and no wave, so that no order fits. */
 import { HttpService, type ServiceCall, type ServiceReply } from './http_service';
 import type { WorkerService } from './worker_service';
+import { WIRE } from './wire_names';
 
 export interface Machine {
   readonly name: string;
@@ -26,8 +27,8 @@
   private answer(call: ServiceCall): ServiceReply {
     if (call.path === '/-/machines') return { status: 200, body: { machines: this.list() } };
     this.record(`order ${call.path} for ${String(call.body.machine)} is rejected`);
-    if (call.path === '/-/machine-move') return { status: 400, body: {} };
-    if (call.path === '/-/machine-upkeep') return { status: 409, body: { reason: 'wave' } };
+    if (call.path === WIRE.machineMove) return { status: 400, body: {} };
+    if (call.path === WIRE.machineUpkeep) return { status: 409, body: { reason: 'wave' } };
     return { status: 404, body: {} };
   }
 
@@ -38,7 +39,7 @@
       state: worker.isUp() ? 'up' : 'down',
       zone: worker.options.zone,
       labels: ['a', worker.options.rack],
-      capacity: { cpu: worker.options.cpu, 'mem-mb': worker.options.memMb },
+      capacity: { cpu: worker.options.cpu, [WIRE.memMb]: worker.options.memMb },
       id: worker.options.workerId,
     }));
   }
--- a/review/lib/store_service.ts
+++ b/review/lib/store_service.ts
@@ -2,6 +2,7 @@
 import { MemoryRows } from '../../store/memory_row_store';
 import type { RowWrite } from '../../store/row_store';
 import { HttpService, pause, type Fields, type ServiceCall, type ServiceReply } from './http_service';
+import { WIRE } from './wire_names';
 
 /** Time that a transaction takes, in milliseconds (`tx-ms`). */
 const TX_MS = 4;
@@ -45,9 +46,9 @@
   }
 
   private async answer(call: ServiceCall): Promise<ServiceReply> {
-    if (call.path === '/-/rows-tx') return this.transact(call.body);
-    if (call.path === '/-/rows-get') return this.read(call.query);
-    if (call.path === '/-/rows-feed') return this.feed(call.query);
+    if (call.path === WIRE.rowsTx) return this.transact(call.body);
+    if (call.path === WIRE.rowsGet) return this.read(call.query);
+    if (call.path === WIRE.rowsFeed) return this.feed(call.query);
     return { status: 404, body: {} };
   }
 
--- a/review/lib/worker_service.ts
+++ b/review/lib/worker_service.ts
@@ -1,6 +1,7 @@
 /** Stand-in for a worker, which may crash and start again under its id and at its address. */
 import type { RowWrite } from '../../store/row_store';
 import { HttpService, pause, type Fields, type ServiceCall, type ServiceReply } from './http_service';
+import { WIRE } from './wire_names';
 
 /** Interval at which a worker writes its entry, in milliseconds (`heartbeat-ms`). */
 export const HEARTBEAT_MS = 1_500;
@@ -196,7 +197,7 @@
       'cold-left-ms': 0,
       seq: this.sequence,
       born: this.life.born,
-      capacity: { cpu, 'mem-mb': memMb },
+      capacity: { cpu, [WIRE.memMb]: memMb },
       labels: ['a', rack],
       machine,
     });
@@ -211,11 +212,11 @@
     }
     if (life === null || call.headers['expect-instance'] !== this.options.workerId)
       return { status: 421, body: {} };
-    const token = Number(call.body['fence-token'] ?? 0);
+    const token = Number(call.body[WIRE.fenceToken] ?? 0);
     if (token < life.token) return this.refuse(life, 'fence');
     life.token = token;
-    if (call.path === '/-/run-start') return this.start(life, call.body, token);
-    if (call.path === '/-/run-stop') return this.stop(life, call.body);
+    if (call.path === WIRE.runStart) return this.start(life, call.body, token);
+    if (call.path === WIRE.runStop) return this.stop(life, call.body);
     if (call.path === '/-/hold') return this.hold(life, call.body);
     if (call.path === '/-/pace') return this.accept(life);
     return { status: 404, body: {} };
@@ -277,7 +278,7 @@
 
   private async hold(life: Life, body: Fields): Promise<ServiceReply> {
     if (typeof body['until-ms'] === 'number') this.extendLease(life, body['until-ms']);
-    const lastSeen = Number(body['last-seen'] ?? 0);
+    const lastSeen = Number(body[WIRE.lastSeen] ?? 0);
     life.ends = life.ends.filter(([number]) => number > lastSeen);
     const waitMs = Math.min(MAX_WAIT_MS, Number(body['wait-ms'] ?? 0));
     if (waitMs > 0 && life.ends.length === 0)
