Let the first report of a restarted worker decide which runs it has

What callers saw: a worker without runs restarted under its id before its entry was replaced; tasks of a job that came in that moment ran twice at once for about 0.2 s, or started again after they were done (TWICE).

Cause: a run was attributed to the incarnation that the leader knew when it sent the start. A command names the worker's id, which the next incarnation keeps, so that it may have accepted the start. A report or an entry of another incarnation therefore counted runs as lost that it was listing, and a takeover and the wait for an unregistered worker's lease did the same. The number up to which ends are acknowledged was also carried over to the next incarnation, which would forget ends that it had not reported.

Change: only a run that an incarnation has listed ends with it. Others are inherited by the session with the next incarnation, and its first report decides; crashes are judged once all lost runs are known. Ends are acknowledged only to the incarnation that reported them: not after a failed call, a new connection or a clock that has started again.

--- a/net/http_channel.ts
+++ b/net/http_channel.ts
@@ -72,6 +72,7 @@
 export class HttpChannel {
   /** `null` if the address cannot be called. */
   private readonly connectionPool: Pool | null;
+  private changeCount = 0;
 
   /** Calls to an `address` that is not a host and a port fail with {@link CallNotSentError}. */
   constructor(
@@ -79,6 +80,15 @@
     connections: number,
   ) {
     this.connectionPool = createPool(address, connections);
+    const countChange = (): void => {
+      this.changeCount += 1;
+    };
+    this.connectionPool?.on('connect', countChange).on('disconnect', countChange);
+  }
+
+  /** How often a connection was opened or closed. */
+  get connectionChanges(): number {
+    return this.changeCount;
   }
 
   /** Throws {@link CallNotSentError} or {@link CallOutcomeUnknownError}. */
--- a/placement/_fake_worker_gateway.ts
+++ b/placement/_fake_worker_gateway.ts
@@ -26,6 +26,17 @@
   readonly checkpoint: string;
 }
 
+/** A start or an end on a fake worker, by the clock that all fake workers share. */
+export interface FakeRunEvent {
+  readonly atMs: number;
+  readonly task: TaskId;
+  readonly run: number;
+  /** `started`, or how the run ended. */
+  readonly kind: 'started' | RunOutcome;
+  /** Sequence number of an end; 0 for a start. */
+  readonly endNumber: number;
+}
+
 /** Longest lease that a fake worker grants, in milliseconds. */
 export const FAKE_LEASE_MS = 10_000;
 
@@ -33,6 +44,7 @@
   readonly runs = new Map<string, FakeRun>();
   /** All applied starts in order, as `occurrence.step.index#run`. */
   readonly starts: string[] = [];
+  readonly history: FakeRunEvent[] = [];
   /** All speeds that were set, in order, in percent. */
   readonly speeds: number[] = [];
   endedRuns: readonly EndedRun[] = [];
@@ -45,14 +57,26 @@
   /** Whether the responses to starts are lost, and if so, whether the starts are applied. */
   lostStarts: 'none' | 'applied' | 'not_applied' = 'none';
   private readonly highestRun = new Map<string, number>();
+  private readonly beganAtMs: number;
 
   constructor(
     readonly entry: WorkerEntry,
     private readonly clock: Clock,
-  ) {}
+  ) {
+    this.beganAtMs = clock.monotonicMs();
+  }
 
+  /** The worker's clock, which counts from the start of its incarnation. */
   nowMs(): number {
-    return this.clock.monotonicMs();
+    return this.clock.monotonicMs() - this.beganAtMs;
+  }
+
+  hasRun(run: { readonly task: TaskId; readonly run: number }): boolean {
+    return this.runs.has(runKey(run));
+  }
+
+  hasRunUnderLease(): boolean {
+    return this.runs.size > 0 && this.nowMs() <= this.leaseUntilMs;
   }
 
   start(command: StartCommand): WorkerResponse {
@@ -67,6 +91,7 @@
     this.extendLease(command.leaseUntilMs);
     this.runs.set(runKey(command), { task: command.task, run: command.run, checkpoint: command.checkpoint });
     this.starts.push(`${key}#${command.run}`);
+    this.recordEvent(command, 'started', 0);
     return this.respond(null);
   }
 
@@ -103,7 +128,7 @@
         progressPercent: 100 + this.nowMs() / 1_000,
         load: null,
       })),
-      ended: this.endedRuns.filter(({ sequenceNumber }) => sequenceNumber > command.acknowledgedEndNumber),
+      ended: this.endedRuns.filter(({ sequenceNumber }) => sequenceNumber > this.acknowledgedEndNumber),
     };
   }
 
@@ -111,10 +136,9 @@
   finish({ task, run }: { readonly task: TaskId; readonly run: number }, outcome: RunOutcome): void {
     this.runs.delete(runKey({ task, run }));
     this.highestRun.set(jobTaskKey(task), run);
-    this.endedRuns = [
-      ...this.endedRuns,
-      { sequenceNumber: this.endedRuns.length + 1, task, run, outcome, checkpoint: '' },
-    ];
+    const sequenceNumber = this.endedRuns.length + 1;
+    this.endedRuns = [...this.endedRuns, { sequenceNumber, task, run, outcome, checkpoint: '' }];
+    this.recordEvent({ task, run }, outcome, sequenceNumber);
   }
 
   /** Ends all runs with an outcome. */
@@ -122,6 +146,14 @@
     for (const run of [...this.runs.values()]) this.finish(run, outcome);
   }
 
+  private recordEvent(
+    { task, run }: { readonly task: TaskId; readonly run: number },
+    kind: FakeRunEvent['kind'],
+    endNumber: number,
+  ): void {
+    this.history.push({ atMs: this.clock.monotonicMs(), task, run, kind, endNumber });
+  }
+
   private expireLease(): void {
     if (this.nowMs() > this.leaseUntilMs) this.finishAll('lapsed');
   }
@@ -146,16 +178,27 @@
 
 export class FakeWorkerGateway extends WorkerGateway {
   readonly workers = new Map<string, FakeWorker>();
+  /** Number of incarnations that were started, by worker. */
+  private readonly startCounts = new Map<string, number>();
   /** Called after each applied start. */
   afterStart: (worker: FakeWorker, command: StartCommand) => void = () => undefined;
 
+  /** All incarnations of all workers, in order of their starts. */
+  readonly incarnations: FakeWorker[] = [];
+  /** Time that a message takes in each direction, in milliseconds. A restart loses those on their way. */
+  latencyMs = 0;
+  /** Number of lease calls that are still to be lost before they arrive. */
+  loseLeaseCalls = 0;
+
   constructor(private readonly clock: Clock) {
     super();
   }
 
   add(entry: WorkerEntry): FakeWorker {
     const worker = new FakeWorker(entry, this.clock);
+    this.startCounts.set(entry.workerId, (this.startCounts.get(entry.workerId) ?? 0) + 1);
     this.workers.set(entry.workerId, worker);
+    this.incarnations.push(worker);
     return worker;
   }
 
@@ -164,18 +207,23 @@
   }
 
   override async start(address: WorkerAddress, command: StartCommand): Promise<WorkerResponse> {
-    const worker = await this.findReachable(address);
+    const worker = await this.deliver(address);
     if (worker.lostStarts !== 'none') {
-      if (worker.lostStarts === 'applied') worker.start(command);
+      if (worker.lostStarts === 'applied' && worker.start(command).rejection === null)
+        this.afterStart(worker, command);
       throw new WorkerOutcomeUnknownError('The response was lost.');
     }
     const response = worker.start(command);
     if (response.rejection === null) this.afterStart(worker, command);
+    await this.deliverResponse(worker);
     return response;
   }
 
   override async stop(address: WorkerAddress, command: RunCommand): Promise<WorkerResponse> {
-    return (await this.findReachable(address)).stop(command);
+    const worker = await this.deliver(address);
+    const response = worker.stop(command);
+    await this.deliverResponse(worker);
+    return response;
   }
 
   override async throttle(address: WorkerAddress, command: ThrottleCommand): Promise<WorkerResponse> {
@@ -185,21 +233,48 @@
   }
 
   override async renewLease(address: WorkerAddress, command: RenewLeaseCommand): Promise<LeaseResponse> {
-    const worker = await this.findReachable(address);
+    const worker = await this.deliver(address);
+    if (this.loseLeaseCalls > 0) {
+      this.loseLeaseCalls -= 1;
+      throw new WorkerOutcomeUnknownError('The call was lost.');
+    }
     const untilMs = this.clock.monotonicMs() + command.waitMs;
     for (;;) {
       const response = worker.renewLease(command);
-      if (response.rejection !== null || response.ended.length > 0 || this.clock.monotonicMs() >= untilMs)
+      if (response.rejection !== null || response.ended.length > 0 || this.clock.monotonicMs() >= untilMs) {
+        await this.deliverResponse(worker);
         return response;
+      }
       await this.clock.delay(POLL_MS);
       if (!worker.isReachable) throw new WorkerOutcomeUnknownError('The connection was cut.');
     }
   }
 
+  override connectionChanges({ workerId }: WorkerAddress): number {
+    return this.startCounts.get(workerId) ?? 0;
+  }
+
   override disconnect(): void {
     // There are no connections to close.
   }
 
+  /** Resolves when a command reaches the worker. */
+  private async deliver(address: WorkerAddress): Promise<FakeWorker> {
+    const worker = await this.findReachable(address);
+    if (this.latencyMs > 0) await this.travel(worker);
+    return worker;
+  }
+
+  /** Resolves when a response has arrived. */
+  private async deliverResponse(worker: FakeWorker): Promise<void> {
+    if (this.latencyMs > 0) await this.travel(worker);
+  }
+
+  private async travel(worker: FakeWorker): Promise<void> {
+    await this.clock.delay(this.latencyMs);
+    if (!worker.isReachable) throw new WorkerOutcomeUnknownError('The connection was cut.');
+  }
+
   private async findReachable({ workerId }: WorkerAddress): Promise<FakeWorker> {
     await Promise.resolve();
     const worker = this.workers.get(workerId);
--- a/placement/_lasting_deployment.ts
+++ b/placement/_lasting_deployment.ts
@@ -43,9 +43,8 @@
 }
 
 /** Number of workers with a run under a valid lease. */
-function runningUnderLease({ harness, runner, other }: LastingDeployment): number {
-  const nowMs = harness.clock.monotonicMs();
-  return [runner, other].filter(({ runs, leaseUntilMs }) => runs.size > 0 && nowMs <= leaseUntilMs).length;
+function runningUnderLease({ runner, other }: LastingDeployment): number {
+  return [runner, other].filter((worker) => worker.hasRunUnderLease()).length;
 }
 
 /** Advances the clock and returns the highest number of runs under valid leases. */
--- a/placement/_placement_harness.ts
+++ b/placement/_placement_harness.ts
@@ -165,6 +165,19 @@
     });
   }
 
+  /**
+   * Restarts a worker under its id: it accepts calls at once, and the entry of the incarnation
+   * that ended stays until {@link register} replaces it.
+   */
+  restart(workerId: string, fields: Partial<WorkerEntry> = {}): FakeWorker {
+    const ended = this.gateway.workers.get(workerId);
+    if (ended === undefined) throw new Error(`There is no worker ${workerId}.`);
+    ended.isReachable = false;
+    ended.runs.clear();
+    const { entry } = ended;
+    return this.gateway.add({ ...entry, startedAtMs: entry.startedAtMs + 1, ...fields });
+  }
+
   async register(entry: WorkerEntry): Promise<void> {
     await this.writeEntry(entry.workerId, JSON.stringify(entry));
   }
--- a/placement/lost_worker_property_test.ts
+++ b/placement/lost_worker_property_test.ts
@@ -50,8 +50,7 @@
   async advance(ms: number): Promise<void> {
     for (let passedMs = 0; passedMs < ms; passedMs += 100) {
       await this.harness.advance(100);
-      const nowMs = this.harness.clock.monotonicMs();
-      const running = this.workers.filter(({ runs, leaseUntilMs }) => runs.size > 0 && nowMs <= leaseUntilMs);
+      const running = this.workers.filter((worker) => worker.hasRunUnderLease());
       this.maxRunning = Math.max(this.maxRunning, running.length);
     }
   }
--- a/placement/placement_leader.ts
+++ b/placement/placement_leader.ts
@@ -157,6 +157,10 @@
     this.loseLeadership('fenced by a later leader');
   }
 
+  override onFirstReport(session: WorkerSession, unlisted: readonly SessionRun[]): void {
+    this.parts.fleet.handleFirstReport(session, unlisted);
+  }
+
   override onReady(session: WorkerSession): void {
     this.schedulePlanOf(session.entry.poolId);
   }
@@ -225,6 +229,19 @@
     this.options.logger.warn(LOG_EVENTS.workerReportUnusable, { workerId, count });
   }
 
+  override onRestarted(session: WorkerSession, startedAtMs: number): void {
+    const { worker, entry } = session;
+    this.options.counters.increment('workers.restart_reported');
+    this.options.logger.info(LOG_EVENTS.workerRestarted, {
+      workerId: worker.workerId,
+      workerStartedAtMs: startedAtMs,
+      earlierStartedAtMs: entry.startedAtMs,
+      runs: session.runCount(),
+    });
+    this.parts.fleet.restart(session, startedAtMs);
+    this.schedulePlan();
+  }
+
   override onReplaced(session: WorkerSession): void {
     this.parts.fleet.remove(session);
     this.schedulePlan();
@@ -331,6 +348,7 @@
     });
     if (this.parts.writer.isStoreUnreachable()) this.options.onStoreUnreachable();
     if (!this.parts.writer.isValid()) this.parts.writer.renewSoon();
+    this.parts.fleet.settleUnreachableRestarts();
     this.parts.fleet.closeIdleSessions();
     this.parts.unrenewedLeases.tick();
     this.parts.workerTime.refresh();
--- a/placement/session_listener.ts
+++ b/placement/session_listener.ts
@@ -18,6 +18,11 @@
 export abstract class SessionListener {
   /** A worker rejected a command because a later leader has sent it a higher fencing token. */
   abstract onFenced(): void;
+  /**
+   * The incarnation has reported its runs for the first time; `unlisted` are the runs that
+   * were started before and that it does not list, empty if the report is incomplete.
+   */
+  abstract onFirstReport(session: WorkerSession, unlisted: readonly SessionRun[]): void;
   /** The worker has accepted this leader's fencing token and reported its runs. */
   abstract onReady(session: WorkerSession): void;
   abstract onRunsEnded(session: WorkerSession, endedRuns: readonly ObservedEndedRun[]): void;
@@ -30,6 +35,11 @@
   abstract onProgress(session: WorkerSession, activeRuns: readonly ActiveRun[]): void;
   /** A worker's report contains entries that cannot be decoded; called when their number changes. */
   abstract onUnusableEntries(session: WorkerSession, count: number): void;
-  /** Another incarnation has replaced this one. */
+  /**
+   * A later incarnation responds under the worker's id. It may have accepted starts that were
+   * meant for the earlier one. `startedAtMs` is 0 if the response does not contain it.
+   */
+  abstract onRestarted(session: WorkerSession, startedAtMs: number): void;
+  /** Another worker responds at the address. */
   abstract onReplaced(session: WorkerSession): void;
 }
--- a/placement/session_run.ts
+++ b/placement/session_run.ts
@@ -3,8 +3,8 @@
 import type { ActiveRun } from '../scheduling/worker_gateway';
 
 /**
- * `inherited`: recorded by an earlier leader and not reported by the worker yet.
- * `unconfirmed`: the start timed out, so its outcome is unknown.
+ * `inherited`: started by an earlier session, of this leader or another one, and not
+ * reported by the worker yet. `unconfirmed`: the start timed out, so its outcome is unknown.
  */
 export type RunPhase = 'inherited' | 'starting' | 'unconfirmed' | 'running' | 'stopping';
 
@@ -25,6 +25,8 @@
   readonly load: number | null;
   /** Speed that the run was last set to; -1 if the outcome of the last throttle command is unknown. */
   readonly speedPercent: number;
+  /** Whether the incarnation has listed the run, so that the run ends with it. */
+  readonly isListed: boolean;
   /** Whether the worker has confirmed a stop, after which the run cannot start any more. */
   readonly isStopConfirmed: boolean;
 }
@@ -56,6 +58,7 @@
     progressAtMs: nowMs,
     load: null,
     speedPercent: 100,
+    isListed: false,
     isStopConfirmed: false,
   };
 }
@@ -88,6 +91,7 @@
     progressAtMs: hasProgressed ? nowMs : run.progressAtMs,
     load: report.load,
     speedPercent: run.speedPercent,
+    isListed: true,
     isStopConfirmed: run.isStopConfirmed,
   };
 }
--- a/placement/unrenewed_leases.ts
+++ b/placement/unrenewed_leases.ts
@@ -68,28 +68,23 @@
   private follow(workerId: string, added: TaskRun[]): void {
     const { clock, state, leaseEnds } = this.options;
     const runs = state.runsOn(workerId);
+    // A later incarnation than the one that a run is recorded for may have accepted it.
     const workerStartedAtMs = Math.max(...runs.map((run) => run.workerStartedAtMs));
-    this.reportLost(
-      workerId,
-      runs.filter((run) => !isOfIncarnation(run, workerStartedAtMs)),
-      'replaced by another incarnation',
-    );
     const known = this.awaited.get(workerId);
     const lease =
       known?.workerStartedAtMs === workerStartedAtMs ? known : this.beginWaiting(workerId, workerStartedAtMs);
-    const currentRuns = runs.filter((run) => isOfIncarnation(run, workerStartedAtMs));
     if (clock.monotonicMs() >= lease.endsAtMs) {
       this.awaited.delete(workerId);
-      this.reportLost(workerId, currentRuns, 'lease of an unregistered worker expired');
+      this.reportLost(workerId, runs, 'lease of an unregistered worker expired');
       return;
     }
     if (this.options.checkWorkerAbsent(workerId, lease.awaitedSinceMs)) {
       this.awaited.delete(workerId);
-      this.reportLost(workerId, currentRuns, 'stopped according to the platform');
+      this.reportLost(workerId, runs, 'stopped according to the platform');
       return;
     }
     leaseEnds.record({ workerId, ...lease });
-    if (known !== lease) added.push(...currentRuns);
+    if (known !== lease) added.push(...runs);
   }
 
   private beginWaiting(workerId: string, workerStartedAtMs: number): AwaitedLease {
@@ -133,8 +128,3 @@
       this.options.onRunLost({ task, run, workerId, outcome: 'lost', checkpoint: '' });
   }
 }
-
-/** Whether a run may be of an incarnation; the start of its own one is 0 if it is not known. */
-function isOfIncarnation(run: TaskRun, workerStartedAtMs: number): boolean {
-  return run.workerStartedAtMs === workerStartedAtMs || run.workerStartedAtMs === 0;
-}
--- a/placement/worker_crash_handler.ts
+++ b/placement/worker_crash_handler.ts
@@ -74,9 +74,10 @@
   private hasFailedWithOthers({ entry, session }: WorkerCrash): boolean {
     const nowMs = this.options.clock.monotonicMs();
     // Without runs, no calls are made that would show whether a worker responds.
-    const others = [...this.options.fleet.all()]
+    const { fleet } = this.options;
+    const others = [...fleet.all()]
       .filter((other) => other.runCount() > 0)
-      .map((other) => ({ entry: other.entry, unreachableSinceMs: other.unreachableSinceMs() }));
+      .map((other) => ({ entry: other.entry, unreachableSinceMs: fleet.unreachableSinceMs(other) }));
     return this.failures.record(
       { entry, unreachableSinceMs: session?.unreachableSinceMs() ?? nowMs },
       others,
--- a/placement/worker_fleet.ts
+++ b/placement/worker_fleet.ts
@@ -5,8 +5,10 @@
 import type { WorkerGateway } from '../scheduling/worker_gateway';
 import type { LeaseEndKeeper } from './lease_end_keeper';
 import type { LostRunLog, LostRunReason } from './lost_run_log';
-import { SessionListener } from './session_listener';
+import type { SessionListener } from './session_listener';
+import { runKey, type SessionRun } from './session_run';
 import type { CrashSign, WorkerCrash } from './worker_crash';
+import { isOfOtherIncarnation, runsAtRestart, type PendingRestart } from './worker_restart';
 import { WorkerSession } from './worker_session';
 
 /**
@@ -41,6 +43,8 @@
   private readonly sessionsByPool = new SessionIndex(({ poolId }) => poolId);
   /** Workers whose registry entry is missing while their session still has runs. */
   private readonly unlisted = new Set<string>();
+  /** Sessions whose first report decides which runs were lost with an earlier incarnation. */
+  private readonly pendingRestarts = new Map<WorkerSession, PendingRestart>();
   /** Incarnations that have stopped although their entry may still be listed, by worker. */
   private readonly retired = new Map<
     string,
@@ -67,6 +71,11 @@
     return this.sessionsByPool.find(poolId);
   }
 
+  /** Since when calls to a worker have failed; a restart counts until its lost runs are reported. */
+  unreachableSinceMs(session: WorkerSession): number | null {
+    return this.pendingRestarts.get(session)?.unreachableSinceMs ?? session.unreachableSinceMs();
+  }
+
   isListed(workerId: string): boolean {
     return this.sessions.has(workerId) && !this.unlisted.has(workerId);
   }
@@ -81,9 +90,29 @@
     if (this.isRetired(entry)) return;
     this.unlisted.delete(workerId);
     if (session === undefined) this.open(entry);
-    else if (session.entry.startedAtMs === entry.startedAtMs && session.worker.address === entry.address)
-      this.updateEntry(session, entry);
-    else this.replace(session, entry);
+    else if (isSameIncarnation(session.entry, entry)) this.updateEntry(session, entry);
+    else this.replace(session, entry, entry.startedAtMs > session.entry.startedAtMs);
+  }
+
+  /** Handles a response of a later incarnation, whose entry may not be stored yet. */
+  restart(session: WorkerSession, startedAtMs: number): void {
+    if (this.sessions.get(session.worker.workerId) !== session) return;
+    this.replace(session, { ...session.entry, startedAtMs }, true);
+  }
+
+  /** Handles the first report of an incarnation; `unlisted` are the runs that it does not list. */
+  handleFirstReport(session: WorkerSession, unlisted: readonly SessionRun[]): void {
+    const restart = this.pendingRestarts.get(session);
+    if (restart === undefined) return;
+    const unlistedKeys = new Set(unlisted.map(runKey));
+    const missing = restart.inDoubt.filter((run) => unlistedKeys.has(runKey(run)));
+    this.settleRestart(session, restart, missing);
+  }
+
+  /** Reports the runs that a restart has certainly ended where the new incarnation does not respond. */
+  settleUnreachableRestarts(): void {
+    for (const [session, restart] of this.pendingRestarts)
+      if (session.unreachableSinceMs() !== null) this.settleRestart(session, restart, []);
   }
 
   /**
@@ -93,8 +122,7 @@
   remove(session: WorkerSession, sign: CrashSign | null = 'restarted'): void {
     const { workerId } = session.worker;
     if (this.sessions.get(workerId) !== session) return;
-    this.deleteSession(session);
-    session.close();
+    this.closeSession(session);
     const runs = this.options.recordedRuns(workerId);
     if (sign !== null) this.reportCrash({ sign, entry: session.entry, session, runs });
     this.reportLostRuns(
@@ -127,8 +155,7 @@
     for (const workerId of this.unlisted) {
       const session = this.sessions.get(workerId);
       if (session !== undefined && session.runCount() > 0) continue;
-      session?.close();
-      if (session !== undefined) this.deleteSession(session);
+      if (session !== undefined) this.closeSession(session);
       this.unlisted.delete(workerId);
     }
   }
@@ -136,6 +163,7 @@
   close(): void {
     for (const session of this.sessions.values()) session.close();
     this.sessions.clear();
+    this.pendingRestarts.clear();
     this.sessionsByInstance.clear();
     this.sessionsByPool.clear();
   }
@@ -152,19 +180,28 @@
     this.sessionsByPool.remove(session);
   }
 
+  private closeSession(session: WorkerSession): void {
+    this.deleteSession(session);
+    session.close();
+    const restart = this.pendingRestarts.get(session);
+    if (restart !== undefined) this.settleRestart(session, restart, []);
+  }
+
   private updateEntry(session: WorkerSession, entry: WorkerEntry): void {
     this.deleteSession(session);
-    session.update(entry);
+    session.update({ ...entry, startedAtMs: entry.startedAtMs || session.entry.startedAtMs });
     this.addSession(session);
   }
 
-  /** Opens a session; `replaced` is the closed one with an earlier incarnation. */
-  private open(entry: WorkerEntry, replaced: WorkerSession | null = null): void {
+  /**
+   * Opens a session; `replaced` is the closed one with another incarnation, which `isLater`
+   * says has certainly ended.
+   */
+  private open(entry: WorkerEntry, replaced: WorkerSession | null = null, isLater = false): void {
     const { clock, gateway, listener, fencingToken, maxLeaseMs, mayAct, leaseEnds } = this.options;
     const { workerId, startedAtMs } = entry;
-    const runs = this.options.recordedRuns(workerId);
-    const isOfIncarnation = (run: TaskRun): boolean =>
-      entry.startedAtMs === 0 || run.workerStartedAtMs === entry.startedAtMs;
+    const recorded = this.options.recordedRuns(workerId);
+    const { inherited, ended, notSent } = runsAtRestart(recorded, replaced, isLater);
     const session = new WorkerSession({
       clock,
       gateway,
@@ -173,7 +210,7 @@
       maxLeaseMs,
       mayAct,
       entry,
-      inherited: runs.filter(isOfIncarnation),
+      inherited,
       knownLeaseEndMs: leaseEnds.endOf(workerId, startedAtMs),
       mayRequestLease: () => leaseEnds.mayRequest(workerId),
       onLeaseWithheld: () => {
@@ -181,18 +218,41 @@
       },
     });
     this.addSession(session);
-    // The runs of earlier incarnations under this id no longer exist.
-    const lost = runs.filter((run) => !isOfIncarnation(run));
-    const sign = replaced === null ? 'takeover' : 'restarted';
-    this.reportCrash({ sign, entry: replaced?.entry ?? entry, session: replaced, runs: lost });
-    this.reportLostRuns(lost, 'replaced by another incarnation');
+    for (const { task, run, phase } of replaced?.activeRuns() ?? [])
+      if (phase === 'stopping') session.stop(task, run);
+    const inheritedKeys = new Set(inherited.map(runKey));
+    const inDoubt = recorded.filter(
+      (run) =>
+        inheritedKeys.has(runKey(run)) && (replaced !== null || isOfOtherIncarnation(run, startedAtMs)),
+    );
+    const restart = {
+      sign: replaced === null ? 'takeover' : 'restarted',
+      replaced,
+      unreachableSinceMs: replaced?.unreachableSinceMs() ?? clock.monotonicMs(),
+      ended,
+      inDoubt,
+    } as const;
+    if (inDoubt.length > 0) this.pendingRestarts.set(session, restart);
+    else this.settleRestart(session, restart, []);
+    this.reportLostRuns(notSent, 'replaced by another incarnation');
     void session.run();
   }
 
-  private replace(session: WorkerSession, entry: WorkerEntry): void {
-    this.deleteSession(session);
-    session.close();
-    this.open(entry, session);
+  private replace(session: WorkerSession, entry: WorkerEntry, isLater: boolean): void {
+    this.closeSession(session);
+    this.open(entry, session, isLater);
+  }
+
+  /** Reports what a restart has ended; the session reports those that are `missing` as lost itself. */
+  private settleRestart(
+    session: WorkerSession,
+    { sign, replaced, ended }: PendingRestart,
+    missing: readonly TaskRun[],
+  ): void {
+    this.pendingRestarts.delete(session);
+    const entry = replaced?.entry ?? session.entry;
+    this.reportCrash({ sign, entry, session: replaced, runs: [...ended, ...missing] });
+    this.reportLostRuns(ended, 'replaced by another incarnation');
   }
 
   private reportCrash(crash: WorkerCrash): void {
@@ -212,6 +272,12 @@
   }
 }
 
+/** Whether two entries may be of one incarnation; the start is 0 in an entry that does not contain it. */
+function isSameIncarnation(known: WorkerEntry, entry: WorkerEntry): boolean {
+  if (known.address !== entry.address) return false;
+  return entry.startedAtMs === 0 || known.startedAtMs === 0 || known.startedAtMs === entry.startedAtMs;
+}
+
 /** Sessions by a property of their workers' entries. */
 class SessionIndex {
   private readonly sessionsByKey = new Map<string, readonly WorkerSession[]>();
--- a/placement/worker_lease.ts
+++ b/placement/worker_lease.ts
@@ -15,6 +15,9 @@
  */
 const REQUEST_MARGIN_MS = 200;
 
+/** Clocks are whole milliseconds. */
+const CLOCK_ROUNDING_MS = 2;
+
 export interface WorkerLeaseOptions {
   readonly maxLeaseMs: number;
   readonly nowMs: number;
@@ -48,11 +51,27 @@
     return this.lastRequestAtMs;
   }
 
+  /** The worker's clock in the latest response; `null` before the first one. */
+  lastWorkerClockMs(): number | null {
+    return this.clock?.workerMs ?? null;
+  }
+
   /** Records the worker's clock from a response that has just arrived. */
   recordClock(workerMs: number, nowMs: number): void {
     this.clock = { workerMs, atMs: nowMs };
   }
 
+  /**
+   * Whether a clock that the worker returned shows another incarnation, whose clock has
+   * started again; `sentAtMs` is when the request was sent.
+   */
+  isClockOfOtherIncarnation(workerMs: number, sentAtMs: number): boolean {
+    if (this.clock === null) return false;
+    const elapsedMs = sentAtMs - this.clock.atMs;
+    const minElapsedMs = elapsedMs > 0 ? elapsedMs * (1 - MAX_CLOCK_DRIFT) : elapsedMs;
+    return workerMs < this.clock.workerMs + minElapsedMs - CLOCK_ROUNDING_MS;
+  }
+
   /** The end of the lease to request now, on the worker's clock; 0 before the worker's clock is known. */
   requestUntilMs(nowMs: number): number {
     const workerMs = this.workerClockMs(nowMs);
--- a/placement/worker_session.ts
+++ b/placement/worker_session.ts
@@ -10,6 +10,7 @@
   type ActiveRun,
   type WorkerAddress,
   type WorkerGateway,
+  type WorkerResponse,
 } from '../scheduling/worker_gateway';
 import type { SessionListener, StartFailure } from './session_listener';
 import {
@@ -55,8 +56,8 @@
   readonly maxLeaseMs: number;
   /** Whether the leader may act; otherwise leases are renewed and nothing else is done. */
   readonly mayAct: () => boolean;
-  /** Runs that earlier leaders have recorded for this incarnation. */
-  readonly inherited: readonly { readonly task: TaskId; readonly run: number }[];
+  /** Runs that earlier sessions have started and that this incarnation may have. */
+  readonly inherited: readonly InheritedRun[];
   /** When the lease that an earlier leader stopped renewing has ended; `null` if that is not known. */
   readonly knownLeaseEndMs: number | null;
   /** Whether the lease may be requested: not while its end is stored, since a successor would rely on it. */
@@ -65,6 +66,13 @@
   readonly onLeaseWithheld: () => void;
 }
 
+export interface InheritedRun {
+  readonly task: TaskId;
+  readonly run: number;
+  /** `unconfirmed` if the start may still arrive. */
+  readonly phase: 'inherited' | 'unconfirmed';
+}
+
 /**
  * Renews the lease of the runs on a worker, receives reports of ended runs, and
  * resolves commands whose outcome is unknown.
@@ -82,6 +90,10 @@
   private readonly runs = new Map<string, SessionRun>();
   private readonly lease: WorkerLease;
   private hasAcceptedToken = false;
+  /** Whether a clock has shown since the latest report that the worker has restarted. */
+  private hasRestarted = false;
+  /** {@link WorkerGateway.connectionChanges} at the latest report. */
+  private reportedConnection = 0;
   private isClosed = false;
   /** Number of calls that have failed since the last successful lease call. */
   private failureCount = 0;
@@ -105,7 +117,7 @@
     this.current = entry;
     this.worker = { workerId: entry.workerId, address: entry.address };
     this.lease = new WorkerLease({ maxLeaseMs, nowMs: clock.monotonicMs(), knownEndMs: knownLeaseEndMs });
-    for (const { task, run } of inherited) this.addRun({ task, run, phase: 'inherited' });
+    for (const run of inherited) this.addRun(run);
   }
 
   get entry(): WorkerEntry {
@@ -303,12 +315,13 @@
       return;
     }
     try {
+      const sentAtMs = this.nowMs();
       const response = await gateway.start(this.worker, {
         ...request,
         fencingToken,
-        leaseUntilMs: this.lease.requestUntilMs(this.nowMs()),
+        leaseUntilMs: this.lease.requestUntilMs(sentAtMs),
       });
-      if (response.clockMs !== null) this.lease.recordClock(response.clockMs, this.nowMs());
+      this.observeClock(response, sentAtMs);
       if (response.rejection === 'fenced') listener.onFenced();
       else if (response.rejection === null) this.markRunning(run);
       else this.handleRejection(run, response.rejection);
@@ -319,6 +332,13 @@
     }
   }
 
+  /** Records the clock of a response, unless it is that of another incarnation. */
+  private observeClock({ clockMs }: WorkerResponse, sentAtMs: number): void {
+    if (clockMs === null) return;
+    if (this.lease.isClockOfOtherIncarnation(clockMs, sentAtMs)) this.hasRestarted = true;
+    else this.lease.recordClock(clockMs, this.nowMs());
+  }
+
   private markRunning(run: SessionRun): void {
     const current = this.runs.get(runKey(run));
     if (current?.phase !== 'starting') return;
@@ -384,7 +404,7 @@
   /** Makes one lease call. Returns whether this incarnation responded. */
   private async renewLease(sentAtMs: number): Promise<boolean> {
     const { gateway, fencingToken } = this.options;
-    const acknowledgedEndNumber = this.options.mayAct() ? this.recordedEndNumber : this.acknowledgedEndNumber;
+    const acknowledgedEndNumber = this.numberToAcknowledge();
     try {
       const response = await gateway.renewLease(this.worker, {
         fencingToken,
@@ -404,6 +424,22 @@
     }
   }
 
+  /**
+   * The number up to which to acknowledge ended runs; 0 if there is nothing new, or if the
+   * worker may have restarted since its latest report. It counts from 1 again then, and a
+   * number of before would make it forget ends that it has not reported.
+   */
+  private numberToAcknowledge(): number {
+    const hasNew = this.options.mayAct() && this.recordedEndNumber > this.acknowledgedEndNumber;
+    return hasNew && this.isSurelySameIncarnation() ? this.recordedEndNumber : 0;
+  }
+
+  /** Whether the next call reaches the incarnation of the latest report or none. A restart breaks all connections. */
+  private isSurelySameIncarnation(): boolean {
+    const connection = this.options.gateway.connectionChanges(this.worker);
+    return this.failureCount === 0 && !this.hasRestarted && connection === this.reportedConnection;
+  }
+
   private mayRenew(): boolean {
     return this.failureCount === 0 && this.options.mayRequestLease();
   }
@@ -427,24 +463,35 @@
       listener.onFenced();
       return false;
     }
-    if (response.rejection === 'other_incarnation' || this.isFromOtherIncarnation(response)) {
+    if (response.rejection === 'other_incarnation') {
       listener.onReplaced(this);
       return false;
     }
+    if (this.isFromOtherIncarnation(response)) {
+      listener.onRestarted(this, response.workerStartedAtMs ?? 0);
+      return false;
+    }
     if (response.rejection !== null) {
       this.recordFailure();
       this.loseExpiredRuns();
       return false;
     }
     if (response.clockMs !== null) this.lease.recordClock(response.clockMs, this.nowMs());
+    this.recordIncarnation(response);
     this.failureCount = 0;
     this.failingSinceMs = null;
+    this.hasRestarted = false;
+    this.reportedConnection = this.options.gateway.connectionChanges(this.worker);
     this.acknowledgedEndNumber = Math.max(this.acknowledgedEndNumber, acknowledgedEndNumber);
     const reportedKeys = this.handleActiveRuns(response.running);
     this.handleEndedRuns(response.ended);
     this.recordUnusableEntries(response.unusableEntries);
-    if (response.ended.length < MAX_ENDED_RUNS && response.unusableEntries === 0)
-      this.resolveMissingRuns(reportedKeys, sentAtMs);
+    const isComplete = response.ended.length < MAX_ENDED_RUNS && response.unusableEntries === 0;
+    if (!this.hasAcceptedToken) {
+      const unlisted = isComplete ? this.activeRuns().filter((run) => !reportedKeys.has(runKey(run))) : [];
+      listener.onFirstReport(this, unlisted);
+    }
+    if (isComplete) this.resolveMissingRuns(reportedKeys, sentAtMs);
     this.markReady();
     if (!this.options.mayRequestLease()) this.options.onLeaseWithheld();
     listener.onProgress(this, response.running);
@@ -463,8 +510,17 @@
     this.options.listener.onReady(this);
   }
 
-  private isFromOtherIncarnation({ workerStartedAtMs: startedAtMs }: LeaseResponse): boolean {
-    return startedAtMs !== null && this.current.startedAtMs !== 0 && startedAtMs !== this.current.startedAtMs;
+  private isFromOtherIncarnation({ workerStartedAtMs: startedAtMs, clockMs }: LeaseResponse): boolean {
+    if (startedAtMs !== null && this.current.startedAtMs !== 0)
+      return startedAtMs !== this.current.startedAtMs;
+    // Without its start, only a clock that has gone back shows a restart.
+    return clockMs !== null && clockMs < (this.lease.lastWorkerClockMs() ?? 0);
+  }
+
+  /** Records the start of the incarnation if the entry does not contain it. */
+  private recordIncarnation({ workerStartedAtMs: startedAtMs }: LeaseResponse): void {
+    if (startedAtMs !== null && this.current.startedAtMs === 0)
+      this.current = { ...this.current, startedAtMs };
   }
 
   /** Returns the keys of the reported runs. */
@@ -507,8 +563,9 @@
   /** Resolves runs that the worker reports neither as active nor as ended. */
   private resolveMissingRuns(reportedKeys: ReadonlySet<string>, sentAtMs: number): void {
     for (const [key, run] of this.runs) {
-      if (reportedKeys.has(key) || run.phaseSinceMs >= sentAtMs) continue;
-      if (run.phase === 'starting') continue;
+      if (reportedKeys.has(key) || run.phase === 'starting') continue;
+      // An inherited run was started before this session's first call.
+      if (run.phase !== 'inherited' && run.phaseSinceMs >= sentAtMs) continue;
       if (run.phase === 'unconfirmed') {
         // The start may still arrive; after a stop the worker rejects it.
         this.stop(run.task, run.run);
--- a/scheduling/worker_gateway.ts
+++ b/scheduling/worker_gateway.ts
@@ -126,6 +126,8 @@
   abstract throttle(worker: WorkerAddress, command: ThrottleCommand): Promise<WorkerResponse>;
   /** Renews the lease of all runs on the worker and returns the active and the ended runs. */
   abstract renewLease(worker: WorkerAddress, command: RenewLeaseCommand): Promise<LeaseResponse>;
+  /** How often a connection to a worker was opened or closed; rises when the worker restarts. */
+  abstract connectionChanges(worker: WorkerAddress): number;
   /** Closes the connections to a worker. */
   abstract disconnect(worker: WorkerAddress): void;
 }
