Discard the tickets for a worker that has restarted

What callers saw: a step of a queue with advice did not start on a worker that had restarted under its id until the tickets of its earlier life had expired; each planning pass sent a start that the worker rejected.

Cause: tickets were kept by the worker's id, but are valid during one incarnation only.

Change: the tickets for a worker are discarded when another incarnation replaces it, and when it rejects a start for want of a ticket; the worker is asked about again.

Evidence: two cases of placement/restarted_worker_test.ts fail with the discard taken out, and pass with it.

--- a/placement/_fake_worker_gateway.ts
+++ b/placement/_fake_worker_gateway.ts
@@ -54,6 +54,8 @@
   highestToken = 0;
   leaseUntilMs = 0;
   isReachable = true;
+  /** The ticket that a start needs; `null` for none. */
+  requiredTicket: string | null = null;
   /** Whether the responses to starts are lost, and if so, whether the starts are applied. */
   lostStarts: 'none' | 'applied' | 'not_applied' = 'none';
   private readonly highestRun = new Map<string, number>();
@@ -88,6 +90,8 @@
     if (this.runs.has(runKey(command))) return this.respond(null);
     if (command.run <= (this.highestRun.get(jobTaskKey(command.task)) ?? 0))
       return this.respond('superseded');
+    if (this.requiredTicket !== null && command.ticket !== this.requiredTicket)
+      return this.respond('no_ticket');
     this.extendLease(command.leaseUntilMs);
     this.runs.set(runKey(command), { task: command.task, run: command.run, checkpoint: command.checkpoint });
     this.starts.push(`${key}#${command.run}`);
--- a/placement/_placement_harness.ts
+++ b/placement/_placement_harness.ts
@@ -13,6 +13,7 @@
   type InstanceCommandResult,
 } from '../scheduling/instance_operations';
 import type { JobDefinition, StepDefinition } from '../scheduling/job_definition';
+import type { PlacementAdvice } from '../scheduling/placement_advice';
 import { PlatformRowCodec, UnusableRowError, type OperatorRow } from '../scheduling/platform_row_codec';
 import type { MaintenanceWave } from '../scheduling/maintenance_wave';
 import type { WorkerEntry } from '../scheduling/worker_entry';
@@ -132,6 +133,7 @@
   readonly instances = new FakeInstanceOperations();
   readonly waves = new Map<number, MaintenanceWave>();
   instanceCommandsPerSecond = 1_000;
+  advice: PlacementAdvice | null = null;
   rules: FleetRules = {
     version: 1,
     queues: new Map([['q', QUEUE]]),
@@ -270,7 +272,7 @@
       rowCodec: new JsonRowCodec(),
       gateway: harness.gateway,
       instances: harness.instances,
-      advice: null,
+      advice: harness.advice,
       rules: () => harness.rules,
       waves: () => harness.waves,
       lease,
--- a/placement/advice_cache.ts
+++ b/placement/advice_cache.ts
@@ -30,7 +30,7 @@
 
 /** One response for a step. */
 interface CachedResponse {
-  /** Workers that the request named. */
+  /** Workers that the request named, without those that have been discarded since. */
   readonly workerIds: ReadonlySet<string>;
   readonly tickets: ReadonlyMap<string, string>;
   /** Monotonic time until which the tickets are used, in milliseconds. */
@@ -78,6 +78,19 @@
     return null;
   }
 
+  /**
+   * Discards the tickets for a worker, which are valid during one incarnation of it only;
+   * the worker is asked about again.
+   */
+  discardWorker(workerId: string): void {
+    for (const [key, responses] of this.responses)
+      if (responses.some(({ workerIds }) => workerIds.has(workerId)))
+        this.responses.set(
+          key,
+          responses.map((response) => without(response, workerId)),
+        );
+  }
+
   private async request(
     key: string,
     step: StepId,
@@ -115,6 +128,14 @@
   }
 }
 
+function without({ workerIds, tickets, untilMs }: CachedResponse, workerId: string): CachedResponse {
+  return {
+    workerIds: new Set([...workerIds].filter((id) => id !== workerId)),
+    tickets: new Map([...tickets].filter(([id]) => id !== workerId)),
+    untilMs,
+  };
+}
+
 function stepKey({ jobId, occurrence, step }: StepId): string {
   return `${jobId}.${occurrence}.${step}`;
 }
--- a/placement/leader_parts.ts
+++ b/placement/leader_parts.ts
@@ -102,6 +102,7 @@
   readonly writer: FencedWriter;
   readonly state: PlacementState;
   readonly fleet: WorkerFleet;
+  readonly advice: AdviceCache;
   readonly lostRunLog: LostRunLog;
   readonly leaseEnds: LeaseEndKeeper;
   readonly unrenewedLeases: UnrenewedLeases;
@@ -147,6 +148,7 @@
   const state = new PlacementState({ clock, writer, counters, rules });
   const lostRunLog = new LostRunLog(options);
   const leaseEnds = new LeaseEndKeeper({ store, clock, storeClock, writer });
+  const advice = new AdviceCache({ clock, advice: options.advice, counters, onResponse: onPlanNeeded });
   const fleet = new WorkerFleet({
     lostRunLog,
     leaseEnds,
@@ -158,6 +160,9 @@
     mayAct: () => writer.isValid(),
     recordedRuns: (workerId) => state.runsOn(workerId),
     onCrash: hooks.onWorkerCrashed,
+    onIncarnationReplaced: (workerId) => {
+      advice.discardWorker(workerId);
+    },
     onRunLost,
   });
   const health = new WorkerHealth();
@@ -204,7 +209,6 @@
     isolation,
     isBeingStopped: (session) => instanceController.isDraining(session),
   });
-  const advice = new AdviceCache({ clock, advice: options.advice, counters, onResponse: onPlanNeeded });
   const placer = new TaskPlacer({
     ...options,
     writer,
@@ -256,6 +260,7 @@
     writer,
     state,
     fleet,
+    advice,
     lostRunLog,
     leaseEnds,
     unrenewedLeases,
--- a/placement/placement_leader.ts
+++ b/placement/placement_leader.ts
@@ -187,6 +187,7 @@
       workerId: session.worker.workerId,
       reason,
     });
+    if (reason === 'no_ticket') this.parts.advice.discardWorker(session.worker.workerId);
     this.onRunLost(session, run);
   }
 
--- a/placement/restarted_worker_test.ts
+++ b/placement/restarted_worker_test.ts
@@ -1,6 +1,7 @@
 /** Guards against a second run of a task, or a task without a run, after its worker restarted under its id. */
+import { PlacementAdvice, type Advice } from '../scheduling/placement_advice';
 import type { FakeWorker } from './_fake_worker_gateway';
-import { PlacementHarness, STEP, type HarnessProcess } from './_placement_harness';
+import { PlacementHarness, QUEUE, STEP, type HarnessProcess } from './_placement_harness';
 
 const JOB = '00000000000000aa';
 const EARLIER_JOB = '00000000000000bb';
@@ -195,3 +196,38 @@
     expect(deployment.harness.runningCount()).toBe(1);
   });
 });
+
+/** Issues tickets for the current incarnations of all workers. */
+class IncarnationAdvice extends PlacementAdvice {
+  constructor(private readonly workers: ReadonlyMap<string, FakeWorker>) {
+    super();
+  }
+
+  override requestTickets(_step: unknown, workerIds: readonly string[]): Promise<Advice> {
+    const tickets = workerIds.flatMap((workerId) => {
+      const ticket = this.workers.get(workerId)?.requiredTicket ?? null;
+      return ticket === null ? [] : [[workerId, ticket] as const];
+    });
+    return Promise.resolve({ tickets: new Map(tickets), validMs: 0 });
+  }
+}
+
+describe('a ticket of an earlier incarnation', () => {
+  test.each(['old', 'new'])('does not keep a step from starting beside the %s entry', async (entry) => {
+    const deployment = new Deployment();
+    const { harness } = deployment;
+    harness.advice = new IncarnationAdvice(harness.gateway.workers);
+    const rule = { decideMs: 1, perWorkerMs: 1, validMs: 60_000 };
+    harness.rules = { ...harness.rules, queues: new Map([['q', { ...QUEUE, advice: rule }]]) };
+    await deployment.start();
+    deployment.first.requiredTicket = 'first';
+    await harness.submit(JOB, [{ ...STEP, demand: { ...STEP.demand, processors: 4 }, taskCount: 2 }]);
+    await harness.advance(500);
+    expect(deployment.first.runs.size).toBe(1);
+    const restarted = harness.restart('w1');
+    restarted.requiredTicket = 'second';
+    if (entry === 'new') await harness.register(restarted.entry);
+    await harness.advance(2_000);
+    expect(restarted.runs.size).toBe(1);
+  });
+});
--- a/placement/worker_fleet.ts
+++ b/placement/worker_fleet.ts
@@ -31,6 +31,8 @@
   readonly recordedRuns: (workerId: string) => readonly TaskRun[];
   /** Called when a worker has crashed, before its runs are reported as lost. */
   readonly onCrash: (crash: WorkerCrash) => void;
+  /** Called when another incarnation of a worker has replaced the known one. */
+  readonly onIncarnationReplaced: (workerId: string) => void;
   /** Called when a run no longer exists and its outcome will never be known. */
   readonly onRunLost: (result: RunResult) => void;
   readonly lostRunLog: LostRunLog;
@@ -240,6 +242,7 @@
 
   private replace(session: WorkerSession, entry: WorkerEntry, isLater: boolean): void {
     this.closeSession(session);
+    this.options.onIncarnationReplaced(entry.workerId);
     this.open(entry, session, isLater);
   }
 
