Send a stop until the worker's report shows that the run is gone

Cause: any response to a stop except one of a fence or another worker counted as its confirmation, and a confirmed stop was never checked against what the worker lists.

Change: a stop is repeated after 250 ms without a confirmation, and 500 ms after one if the run is still listed, until the run is gone or the session is closed. A rejection as superseded still confirms that the run cannot start. Event 749 and counter workers.stop_failed show repeated stops.

--- a/placement/_fake_worker_gateway.ts
+++ b/placement/_fake_worker_gateway.ts
@@ -26,6 +26,9 @@
   readonly checkpoint: string;
 }
 
+/** How a command fails: rejected, not delivered, or delivered with its response lost. */
+export type CommandFault = Rejection | 'unreachable' | 'not_applied' | 'applied';
+
 /** A start or an end on a fake worker, by the clock that all fake workers share. */
 export interface FakeRunEvent {
   readonly atMs: number;
@@ -54,6 +57,12 @@
   highestToken = 0;
   leaseUntilMs = 0;
   isReachable = true;
+  /** Faults of the next stops, first one first. */
+  stopFaults: readonly CommandFault[] = [];
+  /** Whether the next stop is confirmed without effect. */
+  ignoresNextStop = false;
+  /** Number of stops that have arrived or failed. */
+  stopCount = 0;
   /** The ticket that a start needs; `null` for none. */
   requiredTicket: string | null = null;
   /** Whether the responses to starts are lost, and if so, whether the starts are applied. */
@@ -103,6 +112,10 @@
     this.expireLease();
     const rejected = this.checkToken(command);
     if (rejected !== null) return this.respond(rejected);
+    if (this.ignoresNextStop) {
+      this.ignoresNextStop = false;
+      return this.respond(null);
+    }
     const key = jobTaskKey(command.task);
     this.highestRun.set(key, Math.max(command.run, this.highestRun.get(key) ?? 0));
     if (this.runs.has(runKey(command))) this.finish(command, 'stopped');
@@ -225,9 +238,19 @@
 
   override async stop(address: WorkerAddress, command: RunCommand): Promise<WorkerResponse> {
     const worker = await this.deliver(address);
-    const response = worker.stop(command);
-    await this.deliverResponse(worker);
-    return response;
+    worker.stopCount += 1;
+    const [fault, ...later] = worker.stopFaults;
+    worker.stopFaults = later;
+    if (fault === undefined) {
+      const response = worker.stop(command);
+      await this.deliverResponse(worker);
+      return response;
+    }
+    if (fault === 'unreachable') throw new WorkerUnreachableError('The connection was refused.');
+    if (fault === 'applied') worker.stop(command);
+    if (fault === 'applied' || fault === 'not_applied')
+      throw new WorkerOutcomeUnknownError('No response arrived.');
+    return { rejection: fault, clockMs: worker.nowMs() };
   }
 
   override async throttle(address: WorkerAddress, command: ThrottleCommand): Promise<WorkerResponse> {
--- a/placement/placement_leader.ts
+++ b/placement/placement_leader.ts
@@ -13,7 +13,12 @@
 import { evacuate } from './evacuation';
 import { createLeaderParts, type LeaderParts, type PlacementLeaderOptions } from './leader_parts';
 import { meanCapacity, poolUsage } from './leader_reporter';
-import { SessionListener, type ObservedEndedRun, type StartFailure } from './session_listener';
+import {
+  SessionListener,
+  type ObservedEndedRun,
+  type StartFailure,
+  type StopFailure,
+} from './session_listener';
 import type { SessionRun } from './session_run';
 import { observedRuns } from './straggler_detection';
 import { stopStuckRuns } from './stuck_runs';
@@ -191,6 +196,17 @@
     this.onRunLost(session, run);
   }
 
+  override onStopFailed(
+    { worker: { workerId } }: WorkerSession,
+    { task, run }: SessionRun,
+    reason: StopFailure,
+    attempt: number,
+  ): void {
+    this.options.counters.increment('workers.stop_failed', reason);
+    if (attempt === 1)
+      this.options.logger.warn(LOG_EVENTS.stopFailed, { jobId: task.jobId, task, run, workerId, reason });
+  }
+
   override onLeaseExpired({ worker: { workerId } }: WorkerSession, runs: readonly SessionRun[]): void {
     this.parts.lostRunLog.record(workerId, 'lease expired', runs);
   }
--- a/placement/session_listener.ts
+++ b/placement/session_listener.ts
@@ -14,6 +14,9 @@
 /** Why a start did not take effect. `lease_withheld`: it would have requested a lease whose end is stored. */
 export type StartFailure = Rejection | 'not_reached' | 'lease_withheld';
 
+/** Why a stop has to be sent again. `no_effect`: it was confirmed, and the run is still listed. */
+export type StopFailure = Rejection | 'no_effect';
+
 /** Receives the events of worker sessions. */
 export abstract class SessionListener {
   /** A worker rejected a command because a later leader has sent it a higher fencing token. */
@@ -28,6 +31,8 @@
   abstract onRunsEnded(session: WorkerSession, endedRuns: readonly ObservedEndedRun[]): void;
   /** A start was rejected, or not sent; the run does not exist. */
   abstract onStartRejected(session: WorkerSession, run: SessionRun, reason: StartFailure): void;
+  /** A stop was rejected or had no effect; it is sent again. `attempt` counts from 1. */
+  abstract onStopFailed(session: WorkerSession, run: SessionRun, reason: StopFailure, attempt: number): void;
   /** All runs of the worker count as ended because its lease has certainly expired; reported before each of them. */
   abstract onLeaseExpired(session: WorkerSession, runs: readonly SessionRun[]): void;
   /** The run no longer exists, and its outcome will never be known. */
--- a/placement/worker_session.ts
+++ b/placement/worker_session.ts
@@ -8,6 +8,7 @@
   type EndedRun,
   type LeaseResponse,
   type ActiveRun,
+  type Rejection,
   type WorkerAddress,
   type WorkerGateway,
   type WorkerResponse,
@@ -41,6 +42,12 @@
 /** Pause after a failed lease call, in milliseconds. */
 const RETRY_MS = 250;
 
+/**
+ * Time after which a confirmed stop is sent again if the worker still lists the run, in
+ * milliseconds. The platform gives a worker 0.2 s to stop one.
+ */
+const STOP_EFFECT_MS = 500;
+
 /**
  * Maximum number of ended runs in one response. A full response may be incomplete, so
  * runs that it does not contain are not taken as lost.
@@ -361,31 +368,54 @@
     if (reason === 'other_incarnation') this.options.listener.onReplaced(this);
   }
 
+  /**
+   * Sends a stop until the worker's report shows that the run is gone: any response but a
+   * report leaves open whether the run has ended.
+   */
   private async sendStop(task: TaskId, run: number): Promise<void> {
-    const { gateway, fencingToken, listener } = this.options;
     const key = runKey({ task, run });
-    while (!this.hasClosed() && this.runs.has(key)) {
-      if (!this.options.mayAct()) {
-        await this.options.clock.delay(RETRY_MS);
-        continue;
-      }
-      try {
-        const response = await gateway.stop(this.worker, { task, run, fencingToken });
-        if (response.rejection === 'fenced') listener.onFenced();
-        if (response.rejection === 'other_incarnation') listener.onReplaced(this);
-        const current = this.runs.get(key);
-        if (current !== undefined)
-          this.updateRun(current, { isStopConfirmed: true, phaseSinceMs: this.nowMs() });
-        this.wake();
-        return;
-      } catch (error) {
-        if (!(error instanceof WorkerUnreachableError || error instanceof WorkerOutcomeUnknownError))
-          throw error;
-        await this.options.clock.delay(RETRY_MS);
-      }
+    for (let attempt = 1; this.isStopping(key); attempt += 1) {
+      const failure = this.options.mayAct() ? await this.trySendStop(task, run) : null;
+      const isConfirmed = this.runs.get(key)?.isStopConfirmed === true;
+      await this.options.clock.delay(isConfirmed ? STOP_EFFECT_MS : RETRY_MS);
+      const stopping = this.isStopping(key) ? this.runs.get(key) : undefined;
+      if (stopping === undefined) return;
+      const reason = failure ?? (isConfirmed ? 'no_effect' : null);
+      if (reason !== null) this.options.listener.onStopFailed(this, stopping, reason, attempt);
+    }
+  }
+
+  private isStopping(key: string): boolean {
+    return !this.isClosed && this.runs.get(key)?.phase === 'stopping';
+  }
+
+  /**
+   * Returns why the worker rejected the stop; `null` if it confirmed it or has not responded.
+   * A superseded run cannot start any more, as after a confirmed stop.
+   */
+  private async trySendStop(task: TaskId, run: number): Promise<Rejection | null> {
+    const { gateway, fencingToken, listener } = this.options;
+    try {
+      const { rejection } = await gateway.stop(this.worker, { task, run, fencingToken });
+      if (rejection === 'fenced') listener.onFenced();
+      if (rejection === 'other_incarnation') listener.onReplaced(this);
+      const isConfirmed = rejection === null || rejection === 'superseded';
+      if (isConfirmed) this.confirmStop(runKey({ task, run }));
+      return isConfirmed ? null : rejection;
+    } catch (error) {
+      if (!(error instanceof WorkerUnreachableError || error instanceof WorkerOutcomeUnknownError))
+        throw error;
+      return null;
     }
   }
 
+  private confirmStop(key: string): void {
+    const run = this.runs.get(key);
+    if (run === undefined || run.isStopConfirmed) return;
+    this.updateRun(run, { isStopConfirmed: true, phaseSinceMs: this.nowMs() });
+    this.wake();
+  }
+
   private async sendThrottle(task: TaskId, run: number, speedPercent: number): Promise<void> {
     const { gateway, fencingToken, listener } = this.options;
     try {
@@ -569,7 +599,7 @@
       if (run.phase === 'unconfirmed') {
         // The start may still arrive; after a stop the worker rejects it.
         this.stop(run.task, run.run);
-      } else if (run.phase !== 'stopping' || run.isStopConfirmed) {
+      } else if (run.phase !== 'stopping' || run.isStopConfirmed || run.isListed) {
         this.removeRun(key);
         this.options.listener.onRunLost(this, run);
       }
--- a/placement/worker_session_test.ts
+++ b/placement/worker_session_test.ts
@@ -43,6 +43,7 @@
   override onRunLost = (): void => undefined;
   override onProgress = (): void => undefined;
   override onUnusableEntries = (): void => undefined;
+  override onStopFailed = (): void => undefined;
   override onFirstReport = (): void => undefined;
   override onRestarted = (): void => undefined;
   override onReplaced = (): void => undefined;
--- a/telemetry/events_catalogue.ts
+++ b/telemetry/events_catalogue.ts
@@ -70,6 +70,7 @@
   rowHandlingFailed: logEvent(745, 'row handling failed'),
   tableReadFailed: logEvent(746, 'table read failed'),
   leaderStepFailed: logEvent(747, 'leader step failed'),
+  stopFailed: logEvent(749, 'stop of a run failed'),
   workerRestarted: logEvent(748, 'worker restart reported'),
   jobAccepted: logEvent(730, 'job accepted'),
   jobRejected: logEvent(731, 'job rejected'),
