Keep the progress of a job within its row, and find the row that is refused

Cause: the row of a job's progress kept every task that the job had ever run. The store refused the row once it was too large, the transaction carried the lease and all other rows with it, and a refusal was repeated like an outage. Nothing compared a job with the limits when it came.

Change: done steps and occurrences are stored without their tasks, and tasks that were not started before are offered while the row has room. A row that is too large or refused is left out, its job ends as failed, and the rest is written. Jobs that cannot be kept get 400, job_too_large. The group commit of submissions writes a refused group row by row. Rows of the earlier encoding are read and shortened.

--- a/callers/job_api.ts
+++ b/callers/job_api.ts
@@ -4,6 +4,7 @@
 import type { Clock } from '../kernel/clock';
 import { findQueue, type FleetRules, type QueueRule } from '../scheduling/fleet_rules';
 import { RowFormatError } from '../scheduling/job_rows';
+import { unstorableReason } from '../scheduling/stored_job';
 import { StoreOutcomeUnknownError, StoreUnavailableError } from '../store/row_store';
 import type { Counters } from '../telemetry/counters';
 import { LOG_EVENTS } from '../telemetry/events_catalogue';
@@ -115,7 +116,10 @@
     const text = await context.req.text();
     if (Buffer.byteLength(text) > rules.maxBodyBytes) return this.reject(context, 413, 'body_too_large');
     const definition = codec.decodeJob(text);
-    const submission = { jobId: pathSuffix, queueId: queue.queueId, teamId, definition, deadlineAtMs };
+    const job = { jobId: pathSuffix, queueId: queue.queueId, teamId, definition };
+    const unstorable = unstorableReason({ ...job, acceptedAtMs: clock.wallMs() });
+    if (unstorable !== null) return this.reject(context, 400, 'job_too_large', unstorable);
+    const submission = { ...job, deadlineAtMs };
     const isNew = await jobs.submit(submission);
     this.options.counters.increment('jobs.accepted', isNew ? 'new' : 'repeated');
     this.options.logger.info(LOG_EVENTS.jobAccepted, {
--- a/cli/store_status_test.ts
+++ b/cli/store_status_test.ts
@@ -2,6 +2,7 @@
 import { encodeLease, LEASE_ADDRESS } from '../placement/lease_row';
 import { encodeQueueStatus, queueStatusAddress } from '../placement/queue_status';
 import { encodeWaveProgress, waveAddress } from '../placement/wave_rows';
+import { INITIAL_JOB_PROGRESS } from '../scheduling/job_progress';
 import { encodeProgress, jobAddress, progressAddress, RowFormatError } from '../scheduling/job_rows';
 import { PlatformRowCodec, UnusableRowError, type OperatorRow } from '../scheduling/platform_row_codec';
 import type { WorkerEntry } from '../scheduling/worker_entry';
@@ -66,7 +67,7 @@
       },
       {
         ...progressAddress('a'),
-        value: encodeProgress({ state: 'running', tasks: new Map(), crashes: new Map() }),
+        value: encodeProgress({ ...INITIAL_JOB_PROGRESS, state: 'running' }),
       },
       { ...jobAddress('a'), value: '{}' },
       { ...jobAddress('b'), value: '{}' },
--- a/placement/burst_memory_test.ts
+++ b/placement/burst_memory_test.ts
@@ -30,6 +30,7 @@
     lease,
     leaseMs: 2_000,
     storeClock: new StoreClock(),
+    onRowRefused: () => undefined,
     onLost: () => undefined,
   });
   const forecast = new BurstForecast();
--- a/placement/fenced_writer.ts
+++ b/placement/fenced_writer.ts
@@ -4,7 +4,9 @@
 import {
   addressKey,
   isStoreFailure,
+  MAX_ROW_VALUE_BYTES,
   MAX_TRANSACTION_ROWS,
+  StoreRefusedError,
   type RowAddress,
   type RowStore,
   type RowWrite,
@@ -67,10 +69,23 @@
   readonly leaseMs: number;
   /** Receives the store's clock from each transaction. */
   readonly storeClock: StoreClock;
+  /**
+   * Called for a row that the store refuses for good, or would refuse for its size. It is
+   * not written; what was staged with it is.
+   */
+  readonly onRowRefused: (refused: RefusedRow) => void;
   /** Called once when another process has acquired the lease. */
   readonly onLost: () => void;
 }
 
+export interface RefusedRow {
+  readonly address: RowAddress;
+  readonly valueBytes: number;
+}
+
+/** A row is set aside after it was refused this often as the only one beside the lease. */
+const MAX_REFUSALS = 2;
+
 /** A row to write. Its value is encoded when a transaction is sent, once for all changes made until then. */
 export interface DeferredWrite extends RowAddress {
   readonly encode: () => string | null;
@@ -84,6 +99,11 @@
   readonly oldestStageNumber: number;
 }
 
+interface BatchRow {
+  readonly staged: StagedWrite;
+  readonly row: RowWrite;
+}
+
 /**
  * Sends one transaction at a time. Each one writes the lease row on the
  * condition that its version is unchanged, so that a transaction of an earlier
@@ -109,6 +129,9 @@
   private lastSentAtMs: number;
   private lastCommitAtMs: number;
   private failedAttempts = 0;
+  /** Number of rows in a transaction; smaller after a refused one, to find the row that is to blame. */
+  private maxBatchRows = MAX_STAGED_ROWS;
+  private refusalCount = 0;
 
   constructor(private readonly options: FencedWriterOptions) {
     const { lease, leaseMs } = options;
@@ -236,14 +259,33 @@
       this.failedAttempts = 0;
       this.validity.renew(sentAt);
       for (const { staged } of batch) this.markCommitted(staged);
+      this.maxBatchRows = Math.min(MAX_STAGED_ROWS, this.maxBatchRows * 2);
+      this.refusalCount = 0;
       return true;
     } catch (error) {
       if (!isStoreFailure(error)) throw error;
       this.failedAttempts += 1;
+      if (error instanceof StoreRefusedError) this.narrow(batch);
       return false;
     }
   }
 
+  /** Makes the next transaction smaller, and sets a row aside that was refused on its own. */
+  private narrow(batch: readonly BatchRow[]): void {
+    const [first] = batch;
+    this.maxBatchRows = Math.max(1, Math.floor(batch.length / 2));
+    if (first === undefined || batch.length > 1) return;
+    this.refusalCount += 1;
+    if (this.refusalCount < MAX_REFUSALS) return;
+    this.refusalCount = 0;
+    this.refuse(first.row);
+  }
+
+  private refuse({ value, ...address }: RowWrite): void {
+    this.staged.delete(addressKey(address));
+    this.options.onRowRefused({ address, valueBytes: Buffer.byteLength(value ?? '') });
+  }
+
   private observeStoreClock(storeMs: number | null, sentAtMs: number): void {
     const { storeClock, clock } = this.options;
     if (storeMs !== null) storeClock.observe({ storeMs, sentAtMs, receivedAtMs: clock.monotonicMs() });
@@ -278,17 +320,24 @@
     else this.staged.set(key, { ...current, oldestStageNumber: stageNumber + 1 });
   }
 
-  private nextBatch(): readonly { readonly staged: StagedWrite; readonly row: RowWrite }[] {
-    const batch: { readonly staged: StagedWrite; readonly row: RowWrite }[] = [];
+  private nextBatch(): readonly BatchRow[] {
+    const batch: BatchRow[] = [];
+    const tooLarge: RowWrite[] = [];
     let bytes = 0;
     for (const staged of this.staged.values()) {
-      if (batch.length >= MAX_STAGED_ROWS) break;
+      if (batch.length >= this.maxBatchRows) break;
       const { encode, ...address } = staged.write;
-      const value = encode();
-      bytes += value?.length ?? 0;
+      const row = { ...address, value: encode() };
+      const valueBytes = Buffer.byteLength(row.value ?? '');
+      if (valueBytes > MAX_ROW_VALUE_BYTES) {
+        tooLarge.push(row);
+        continue;
+      }
+      bytes += valueBytes;
       if (bytes > MAX_VALUE_BYTES && batch.length > 0) break;
-      batch.push({ staged, row: { ...address, value } });
+      batch.push({ staged, row });
     }
+    for (const row of tooLarge) this.refuse(row);
     return batch;
   }
 
--- a/placement/fenced_writer_test.ts
+++ b/placement/fenced_writer_test.ts
@@ -26,6 +26,7 @@
     lease,
     leaseMs: 2_000,
     storeClock: new StoreClock(),
+    onRowRefused: () => undefined,
     onLost: () => undefined,
   });
   return { clock, store, writer };
--- a/placement/leader_parts.ts
+++ b/placement/leader_parts.ts
@@ -19,7 +19,7 @@
 import { AdviceCache } from './advice_cache';
 import { BurstMemoryKeeper } from './burst_memory';
 import { EndedJobSweep } from './ended_job_sweep';
-import { FencedWriter } from './fenced_writer';
+import { FencedWriter, type RefusedRow } from './fenced_writer';
 import { InstanceController } from './instance_controller';
 import { JobIntake } from './job_intake';
 import type { AcquiredLease } from './leader_election';
@@ -87,6 +87,7 @@
 export interface LeaderHooks {
   readonly sessionListener: SessionListener;
   readonly onFenced: (reason: string) => void;
+  readonly onRowRefused: (refused: RefusedRow) => void;
   /** A run no longer exists, or its start was not sent. */
   readonly onRunLost: (result: RunResult) => void;
   /** A worker has crashed; its runs are reported as lost after this. */
@@ -141,6 +142,7 @@
     storeClock,
     lease,
     leaseMs,
+    onRowRefused: hooks.onRowRefused,
     onLost: () => {
       hooks.onFenced('another process acquired the lease');
     },
--- a/placement/lease_end_keeper_test.ts
+++ b/placement/lease_end_keeper_test.ts
@@ -31,7 +31,15 @@
     if (lease === null) throw new Error('The lease was not acquired.');
     const storeClock = new StoreClock();
     const onLost = (): void => undefined;
-    const writer = new FencedWriter({ store, clock, lease, leaseMs: LEASE_MS, storeClock, onLost });
+    const writer = new FencedWriter({
+      store,
+      clock,
+      lease,
+      leaseMs: LEASE_MS,
+      storeClock,
+      onRowRefused: () => undefined,
+      onLost,
+    });
     const keeper = new LeaseEndKeeper({ store, clock, storeClock, writer });
     await keeper.load();
     await clock.advanceAsync(1_000);
--- a/placement/odd_stored_rows_test.ts
+++ b/placement/odd_stored_rows_test.ts
@@ -1,6 +1,6 @@
 /** Guards against a leader that ends, hangs or stops placing because of a row of another writer. */
 import { encodeJob, encodeProgress, jobAddress, progressAddress } from '../scheduling/job_rows';
-import { INITIAL_TASK_PROGRESS } from '../scheduling/job_progress';
+import { INITIAL_JOB_PROGRESS, INITIAL_TASK_PROGRESS } from '../scheduling/job_progress';
 import type { AcceptedJob, StepDefinition } from '../scheduling/job_definition';
 import { PlacementHarness, STEP } from './_placement_harness';
 
@@ -15,7 +15,7 @@
 function storedProgress(key: string): string {
   const runs = [{ run: 1, workerId: 'w1', workerStartedAtMs: 1 }];
   const task = { ...INITIAL_TASK_PROGRESS, lastRun: 1, runs };
-  return encodeProgress({ state: 'running', tasks: new Map([[key, task]]), crashes: new Map() });
+  return encodeProgress({ ...INITIAL_JOB_PROGRESS, state: 'running', tasks: new Map([[key, task]]) });
 }
 
 const VALID = storedJob({});
--- a/placement/placement_leader.ts
+++ b/placement/placement_leader.ts
@@ -11,6 +11,7 @@
 import { LOG_EVENTS } from '../telemetry/events_catalogue';
 import { logCapacityChange } from './capacity_changes';
 import { evacuate } from './evacuation';
+import type { RefusedRow } from './fenced_writer';
 import { createLeaderParts, type LeaderParts, type PlacementLeaderOptions } from './leader_parts';
 import { meanCapacity, poolUsage } from './leader_reporter';
 import {
@@ -64,6 +65,9 @@
       onFenced: (reason) => {
         this.loseLeadership(reason);
       },
+      onRowRefused: (refused) => {
+        this.handleRefusedRow(refused);
+      },
       onRunLost: (result) => {
         this.handleLostRun(result);
       },
@@ -308,6 +312,16 @@
     if (!this.isStopped && this.parts.resultHandler.handleLostRun(result)) this.schedulePlan();
   }
 
+  /** Fails the job whose progress cannot be stored, so that it does not stand still and the others go on. */
+  private handleRefusedRow({ address, valueBytes }: RefusedRow): void {
+    const { table, key } = address;
+    this.options.counters.increment('placement.row_refused', table);
+    this.options.logger.error(LOG_EVENTS.rowRefused, { table, rowKey: key, valueBytes });
+    if (table !== PROGRESS_TABLE) return;
+    const job = this.parts.state.failUnstorable(key);
+    if (job !== null) this.parts.resultHandler.stopRuns(job);
+  }
+
   /** Schedules a planning pass over all pools. */
   private schedulePlan(): void {
     this.changedPoolIds = null;
--- a/placement/placement_state.ts
+++ b/placement/placement_state.ts
@@ -80,6 +80,14 @@
     return job;
   }
 
+  /** Ends a job whose progress cannot be stored as failed. Returns the job if this changed its state. */
+  failUnstorable(jobId: string): OpenJob | null {
+    const job = this.jobs.get(jobId);
+    if (job?.record.failUnstorable() !== true) return null;
+    this.stageProgress(job.record);
+    return job;
+  }
+
   /**
    * Stages a job's progress for the next commit, and closes the job once it has ended
    * and none of its runs is left.
--- a/scheduling/job_progress.ts
+++ b/scheduling/job_progress.ts
@@ -35,15 +35,28 @@
   runs: [],
 };
 
+/** Progress of a task whose step is done. */
+export const DONE_TASK_PROGRESS: TaskProgress = { ...INITIAL_TASK_PROGRESS, isDone: true };
+
 export interface JobProgress {
   readonly state: JobState;
-  /** Tasks that have been started at least once, by task key (`occurrence.step.index`). */
+  /** Numbers of the first and the last occurrence of each range of done ones, in order. */
+  readonly doneOccurrences: readonly (readonly [number, number])[];
+  /** Keys (`occurrence.step`) of the done steps of other occurrences. */
+  readonly doneSteps: ReadonlySet<string>;
+  /** Tasks of other steps that have been started at least once, by task key (`occurrence.step.index`). */
   readonly tasks: ReadonlyMap<string, TaskProgress>;
   /** Crashes of workers under tasks, by task key; under a gang by that of its first member. */
   readonly crashes: ReadonlyMap<string, CrashCounts>;
 }
 
-export const INITIAL_JOB_PROGRESS: JobProgress = { state: 'queued', tasks: new Map(), crashes: new Map() };
+export const INITIAL_JOB_PROGRESS: JobProgress = {
+  state: 'queued',
+  doneOccurrences: [],
+  doneSteps: new Set(),
+  tasks: new Map(),
+  crashes: new Map(),
+};
 
 export function isEnded(state: JobState): boolean {
   return state === 'completed' || state === 'failed' || state === 'cancelled';
--- a/scheduling/job_record.ts
+++ b/scheduling/job_record.ts
@@ -16,6 +16,7 @@
   type TaskId,
 } from './job_definition';
 import {
+  DONE_TASK_PROGRESS,
   isEnded,
   INITIAL_JOB_PROGRESS,
   INITIAL_TASK_PROGRESS,
@@ -24,6 +25,16 @@
   type RunRecord,
   type TaskProgress,
 } from './job_progress';
+import { DoneWork } from './done_work';
+import {
+  CRASH_BYTES,
+  MAX_OPEN_BYTES,
+  MAX_PROGRESS_BYTES,
+  MAX_STEP_BYTES,
+  NEW_TASK_BYTES,
+  stepBytes,
+  taskBytes,
+} from './progress_size';
 import type { RunOutcome } from './worker_gateway';
 
 /** A step of one occurrence that may run now, with the indexes of the tasks that wait for a worker. */
@@ -73,13 +84,15 @@
   private readonly maxAttempts: () => number;
   private readonly tasks: Map<string, TaskProgress>;
   private readonly crashes: Map<string, CrashCounts>;
-  /** Number of done tasks, by `occurrence.step`. */
+  /** Done tasks of steps that are not done, or of which runs are left, by `occurrence.step`. */
   private readonly doneCounts = new Map<string, number>();
+  private readonly done: DoneWork;
+  /** Size of the entries of tasks, in bytes. */
+  private openBytes = 0;
   /** Workers on which a task has failed, so that its next run is placed on another worker. */
   private readonly failedWorkersByTask = new Map<string, readonly string[]>();
   private currentState: JobState;
   private activeRunCount = 0;
-  private firstUnfinishedOccurrence = 0;
   private cachedReadySteps: readonly ReadyStep[] | null = null;
 
   constructor({ job, progress = INITIAL_JOB_PROGRESS, maxAttempts }: JobRecordOptions) {
@@ -88,10 +101,14 @@
     this.tasks = new Map(progress.tasks);
     this.crashes = new Map(progress.crashes);
     this.currentState = progress.state;
+    this.done = new DoneWork(job.definition, progress);
     for (const [key, task] of this.tasks) {
       this.activeRunCount += task.runs.length;
+      this.openBytes += taskBytes(task);
       if (task.isDone) this.incrementDone(key);
     }
+    // Earlier versions have stored the tasks of done steps.
+    for (const key of [...this.doneCounts.keys()]) this.settleStep(key);
   }
 
   get state(): JobState {
@@ -102,9 +119,8 @@
     // An ended job needs its tasks only while it still has runs.
     const needsTasks = !isEnded(this.currentState) || this.activeRunCount > 0;
     const state = this.currentState;
-    return needsTasks
-      ? { state, tasks: this.tasks, crashes: this.crashes }
-      : { ...INITIAL_JOB_PROGRESS, state };
+    if (!needsTasks) return { ...INITIAL_JOB_PROGRESS, state };
+    return { state, tasks: this.tasks, crashes: this.crashes, ...this.done.progress };
   }
 
   /** Whether the job has ended and has no runs left. */
@@ -123,7 +139,9 @@
   }
 
   task(id: Omit<TaskId, 'jobId'>): TaskProgress {
-    return this.tasks.get(taskKey(id)) ?? INITIAL_TASK_PROGRESS;
+    const known = this.tasks.get(taskKey(id));
+    if (known !== undefined) return known;
+    return this.done.hasStep(id.occurrence, id.step) ? DONE_TASK_PROGRESS : INITIAL_TASK_PROGRESS;
   }
 
   failedWorkers(id: Omit<TaskId, 'jobId'>): readonly string[] {
@@ -161,11 +179,56 @@
   private findReady(nowMs: number): readonly ReadyStep[] {
     const ready: ReadyStep[] = [];
     const last = occurrenceCount(this.job.definition) - 1;
-    for (let occurrence = this.firstUnfinishedOccurrence; occurrence <= last; occurrence += 1) {
+    const first = this.done.firstOpenOccurrence;
+    for (let occurrence = first; occurrence <= last; occurrence += 1) {
       if (this.dueAtMs(occurrence) > nowMs) break;
+      if (occurrence > first && this.keptStepBytes() >= MAX_STEP_BYTES && !this.hasBegun(occurrence))
+        continue;
       this.collectReady(occurrence, ready);
     }
-    return ready;
+    return this.withinRow(ready);
+  }
+
+  /** Size of what is kept for done steps and for the done tasks of others, in bytes. */
+  private keptStepBytes(): number {
+    let bytes = this.done.bytes;
+    for (const key of this.doneCounts.keys()) bytes += stepBytes(this.step(parseKey(key).step));
+    return bytes;
+  }
+
+  private hasBegun(occurrence: number): boolean {
+    return this.job.definition.steps.some(
+      (_, step) =>
+        this.done.hasStep(occurrence, step) ||
+        this.doneCounts.has(`${occurrence}.${step}`) ||
+        this.tasks.has(taskKey({ occurrence, step, index: 0 })),
+    );
+  }
+
+  /**
+   * Leaves out tasks that have not been started before and for which the row has no room
+   * now. Some may always start while no other task is open, so that the job goes on.
+   */
+  private withinRow(ready: readonly ReadyStep[]): readonly ReadyStep[] {
+    let freeBytes = MAX_OPEN_BYTES - this.openBytes - this.keptStepBytes() - this.crashes.size * CRASH_BYTES;
+    if (this.openBytes === 0) freeBytes = Math.max(freeBytes, NEW_TASK_BYTES);
+    return ready.flatMap((readyStep) => {
+      const { occurrence, step, definition, waiting } = readyStep;
+      const isNew = (index: number): boolean => !this.tasks.has(taskKey({ occurrence, step, index }));
+      const newCount = waiting.filter(isNew).length;
+      const isOnlyOne = this.openBytes === 0 && readyStep === ready[0];
+      if (newCount * NEW_TASK_BYTES <= freeBytes || (definition.isGang && isOnlyOne)) {
+        freeBytes -= newCount * NEW_TASK_BYTES;
+        return [readyStep];
+      }
+      if (definition.isGang) return [];
+      const admitted = waiting.filter((index) => {
+        if (!isNew(index)) return true;
+        freeBytes -= NEW_TASK_BYTES;
+        return freeBytes >= 0;
+      });
+      return admitted.length === 0 ? [] : [{ ...readyStep, waiting: admitted }];
+    });
   }
 
   /** Unix time at which an occurrence is due, in milliseconds; 0 for jobs that are not repeated. */
@@ -193,7 +256,7 @@
   addRun(id: Omit<TaskId, 'jobId'>, run: RunRecord): void {
     this.cachedReadySteps = null;
     const task = this.task(id);
-    this.tasks.set(taskKey(id), {
+    this.setTask(taskKey(id), {
       ...task,
       lastRun: Math.max(task.lastRun, run.run),
       runs: [...task.runs, run],
@@ -209,13 +272,14 @@
     if (runs.length === task.runs.length) return false;
     this.activeRunCount -= 1;
     this.cachedReadySteps = null;
-    this.tasks.set(taskKey(result.task), { ...task, runs });
+    this.setTask(taskKey(result.task), { ...task, runs });
     if (result.checkpoint !== '') this.saveCheckpoint(result.task, result.checkpoint);
     // A task that ends by itself does not crash its workers.
     if (result.outcome === 'done' || result.outcome === 'failed')
       this.crashes.delete(this.crashKey(result.task));
     if (result.outcome === 'done') this.markDone(result.task);
     if (result.outcome === 'failed') this.recordFailure(result);
+    this.settleStep(`${result.task.occurrence}.${result.task.step}`);
     this.completeIfDone();
     return true;
   }
@@ -223,7 +287,12 @@
   /** Saves a checkpoint that a run has reported. */
   saveCheckpoint(id: Omit<TaskId, 'jobId'>, checkpoint: string): void {
     const owner = this.checkpointOwner(id);
-    this.tasks.set(taskKey(owner), { ...this.task(owner), checkpoint });
+    const task = this.task(owner);
+    const saved = { ...task, checkpoint };
+    // Without room the task resumes from an earlier checkpoint.
+    const bytes = this.openBytes + this.keptStepBytes() + taskBytes(saved) - taskBytes(task);
+    if (task.isDone || bytes > MAX_PROGRESS_BYTES) return;
+    this.setTask(taskKey(owner), saved);
   }
 
   /** Checkpoint from which a task resumes; the members of a gang share it. */
@@ -273,7 +342,39 @@
   }
 
   isStepDone(occurrence: number, step: number): boolean {
-    return (this.doneCounts.get(`${occurrence}.${step}`) ?? 0) >= this.step(step).taskCount;
+    const key = `${occurrence}.${step}`;
+    return (
+      this.done.hasStep(occurrence, step) || (this.doneCounts.get(key) ?? 0) >= this.step(step).taskCount
+    );
+  }
+
+  /** Ends the job as failed because its progress cannot be stored. Returns whether this changed its state. */
+  failUnstorable(): boolean {
+    if (isEnded(this.currentState)) return false;
+    this.currentState = 'failed';
+    return true;
+  }
+
+  private setTask(key: string, task: TaskProgress): void {
+    const known = this.tasks.get(key);
+    this.openBytes += taskBytes(task) - (known === undefined ? 0 : taskBytes(known));
+    this.tasks.set(key, task);
+  }
+
+  /** Drops the tasks of a step that is done once none of them has a run. */
+  private settleStep(stepKey: string): void {
+    const { occurrence, step } = parseKey(stepKey);
+    const { taskCount } = this.step(step);
+    if ((this.doneCounts.get(stepKey) ?? 0) < taskCount) return;
+    if (this.runsOfStep(occurrence, step).length > 0) return;
+    for (let index = 0; index < taskCount; index += 1) {
+      const key = taskKey({ occurrence, step, index });
+      this.tasks.delete(key);
+      this.crashes.delete(key);
+      this.failedWorkersByTask.delete(key);
+    }
+    this.doneCounts.delete(stepKey);
+    this.done.addStep(occurrence, step);
   }
 
   private crashKey(id: Omit<TaskId, 'jobId'>): string {
@@ -289,8 +390,6 @@
     const unfinished = steps.flatMap((definition, step) =>
       this.isStepDone(occurrence, step) ? [] : [{ definition, step }],
     );
-    if (unfinished.length === 0 && occurrence === this.firstUnfinishedOccurrence)
-      this.firstUnfinishedOccurrence += 1;
     for (const { definition, step } of unfinished) {
       if (!definition.after.every((earlier) => this.isStepDone(occurrence, earlier))) continue;
       const waiting = this.waitingTasks(occurrence, step, definition);
@@ -317,7 +416,8 @@
       const key = taskKey({ ...id, index });
       const task = this.tasks.get(key) ?? INITIAL_TASK_PROGRESS;
       if (task.isDone) continue;
-      this.tasks.set(key, { ...task, isDone: true, checkpoint: '' });
+      // It is not started again, so that only its other runs matter.
+      this.setTask(key, { ...DONE_TASK_PROGRESS, runs: task.runs });
       this.incrementDone(key);
     }
   }
@@ -337,7 +437,7 @@
     const task = this.task(owner);
     if (task.isDone || (step.isGang && task.lastFailedRun >= run)) return;
     const failures = task.failures + 1;
-    this.tasks.set(taskKey(owner), { ...task, failures, lastFailedRun: run });
+    this.setTask(taskKey(owner), { ...task, failures, lastFailedRun: run });
     if (failures >= this.maxAttempts() && !isEnded(this.currentState)) this.currentState = 'failed';
   }
 
--- a/scheduling/job_rows.ts
+++ b/scheduling/job_rows.ts
@@ -2,7 +2,8 @@
 import { z } from 'zod';
 import type { RowAddress } from '../store/row_store';
 import type { AcceptedJob } from './job_definition';
-import type { JobProgress, TaskProgress } from './job_progress';
+import { decodeIndexes, encodeIndexes, INDEXES_PATTERN } from './index_set';
+import { DONE_TASK_PROGRESS, type JobProgress, type TaskProgress } from './job_progress';
 
 /** Accepted jobs and requests to cancel them; written by the process that received the caller's request. */
 export const JOB_TABLE = 'jobs';
@@ -17,6 +18,12 @@
 /** Version of both encodings. Readers accept rows of this version and ignore unknown fields. */
 const ENCODING_VERSION = 1;
 
+/**
+ * Version of progress with done tasks that are not listed one by one. Readers of version 1
+ * reject it, since they would start these tasks again.
+ */
+const COMPACT_PROGRESS_VERSION = 2;
+
 /**
  * Number of partitions of {@link JOB_TABLE}. Several are used because a partition
  * accepts a limited number of transactions per second.
@@ -26,12 +33,6 @@
   String(index),
 );
 
-/**
- * Maximum size of an encoded progress value, in bytes. The store encodes 3 bytes as 4,
- * and a row holds at most 64 KiB.
- */
-export const MAX_PROGRESS_BYTES = 45_000;
-
 const CANCEL_SUFFIX = '/cancel';
 
 /** The row was written by a later version of this system or is corrupted. */
@@ -121,45 +122,83 @@
   z.array(runSchema),
 ]);
 const progressRowSchema = z.object({
-  encoding: z.literal(ENCODING_VERSION),
+  encoding: z.union([z.literal(ENCODING_VERSION), z.literal(COMPACT_PROGRESS_VERSION)]),
   state: z.enum(['queued', 'running', 'completed', 'failed', 'cancelled']),
   tasks: z.array(taskSchema).default([]),
   // A field of its own, since versions that do not know it reject longer rows of tasks.
   crashes: z.array(z.tuple([z.string(), z.int().min(0), z.int().min(0), z.int().min(0)])).default([]),
+  /** Ranges of done occurrences. */
+  doneOccurrences: z.array(z.tuple([z.int().min(0), z.int().min(0)])).default([]),
+  doneSteps: z.array(z.string()).default([]),
+  /** Done tasks of each step that is not done, as in {@link encodeIndexes}. */
+  doneTasks: z.array(z.tuple([z.string(), z.string().regex(INDEXES_PATTERN)])).default([]),
 });
 
-export function encodeProgress({ state, tasks, crashes }: JobProgress): string {
-  const rows = [...tasks].map(([key, task]) => [
-    key,
-    task.isDone ? 1 : 0,
-    task.failures,
-    task.lastFailedRun,
-    task.lastRun,
-    task.checkpoint,
-    task.runs.map(({ run, workerId, workerStartedAtMs }) => [run, workerId, workerStartedAtMs]),
-  ]);
+export function encodeProgress({ state, tasks, crashes, doneSteps, doneOccurrences }: JobProgress): string {
+  const rows: unknown[] = [];
+  const doneIndexes = new Map<string, number[]>();
+  for (const [key, task] of tasks)
+    if (task.isDone && task.runs.length === 0) {
+      const [stepName, index] = splitTaskKey(key);
+      const indexes = doneIndexes.get(stepName) ?? [];
+      doneIndexes.set(stepName, indexes);
+      indexes.push(index);
+    } else rows.push(encodeTask(key, task));
   const counts = [...crashes].map(([key, count]) => [
     key,
     count.crashes,
     count.firstCrashes,
     count.soleCrashes,
   ]);
+  const isCompact = doneIndexes.size > 0 || doneSteps.size > 0 || doneOccurrences.length > 0;
   return JSON.stringify({
-    encoding: ENCODING_VERSION,
+    encoding: isCompact ? COMPACT_PROGRESS_VERSION : ENCODING_VERSION,
     state,
     ...(rows.length > 0 ? { tasks: rows } : {}),
     ...(counts.length > 0 ? { crashes: counts } : {}),
+    ...(doneOccurrences.length > 0 ? { doneOccurrences } : {}),
+    ...(doneSteps.size > 0 ? { doneSteps: [...doneSteps] } : {}),
+    ...(doneIndexes.size > 0
+      ? { doneTasks: [...doneIndexes].map(([key, indexes]) => [key, encodeIndexes(indexes)]) }
+      : {}),
   });
 }
 
 /** Throws {@link RowFormatError}. */
 export function decodeProgress(value: string): JobProgress {
-  const { state, tasks, crashes } = decodeJsonRow(progressRowSchema, value);
-  const counts = crashes.map(
+  const row = decodeJsonRow(progressRowSchema, value);
+  const counts = row.crashes.map(
     ([key, count, firstCrashes, soleCrashes]) =>
       [key, { crashes: count, firstCrashes, soleCrashes }] as const,
   );
-  return { state, tasks: new Map(tasks.map(decodeTask)), crashes: new Map(counts) };
+  const done = row.doneTasks.flatMap(([stepName, indexes]) =>
+    decodeIndexes(indexes).map((index) => [`${stepName}.${index}`, DONE_TASK_PROGRESS] as const),
+  );
+  return {
+    state: row.state,
+    doneOccurrences: row.doneOccurrences,
+    doneSteps: new Set(row.doneSteps),
+    tasks: new Map([...done, ...row.tasks.map(decodeTask)]),
+    crashes: new Map(counts),
+  };
+}
+
+function encodeTask(key: string, task: TaskProgress): readonly unknown[] {
+  return [
+    key,
+    task.isDone ? 1 : 0,
+    task.failures,
+    task.lastFailedRun,
+    task.lastRun,
+    task.checkpoint,
+    task.runs.map(({ run, workerId, workerStartedAtMs }) => [run, workerId, workerStartedAtMs]),
+  ];
+}
+
+/** Splits a task key into that of its step and its index. */
+function splitTaskKey(key: string): readonly [stepKey: string, index: number] {
+  const end = key.lastIndexOf('.');
+  return [key.slice(0, end), Number(key.slice(end + 1))];
 }
 
 function decodeTask(row: z.infer<typeof taskSchema>): readonly [string, TaskProgress] {
--- a/scheduling/stored_job.ts
+++ b/scheduling/stored_job.ts
@@ -2,7 +2,9 @@
 import type { Resources } from '../model/resources';
 import { occurrenceCount, type AcceptedJob, type JobDefinition, type StepDefinition } from './job_definition';
 import type { JobProgress } from './job_progress';
-import { decodeJob, RowFormatError } from './job_rows';
+import { decodeJob, encodeJob, RowFormatError } from './job_rows';
+import { MAX_TASKS_TOGETHER } from './progress_size';
+import { MAX_ROW_VALUE_BYTES } from '../store/row_store';
 
 /**
  * Limits that prevent one job from exhausting a process. The largest known jobs
@@ -18,6 +20,29 @@
 const JOB_ID_PATTERN = /^[0-9a-zA-Z]{1,200}$/;
 const TASK_KEY_PATTERN = /^(0|[1-9]\d{0,8})\.(0|[1-9]\d{0,8})\.(0|[1-9]\d{0,8})$/;
 
+/**
+ * Why a job cannot be kept within the limits of the store; `null` if it can. It would be
+ * accepted and never end.
+ *
+ * @example
+ * ```ts
+ * unstorableReason(job); // 'The tasks of a gang are more than 300.'
+ * ```
+ */
+export function unstorableReason(job: AcceptedJob): string | null {
+  const { steps } = job.definition;
+  const isLasting = steps.some(({ isLongRunning }) => isLongRunning);
+  const taskCount = steps.reduce((sum, step) => sum + step.taskCount, 0) * occurrenceCount(job.definition);
+  if (isLasting && taskCount > MAX_TASKS_TOGETHER)
+    return `The tasks of a long-running job are more than ${MAX_TASKS_TOGETHER}.`;
+  if (steps.some((step) => step.isGang && step.taskCount > MAX_TASKS_TOGETHER))
+    return `The tasks of a gang are more than ${MAX_TASKS_TOGETHER}.`;
+  const bytes = Buffer.byteLength(encodeJob(job));
+  return bytes > MAX_ROW_VALUE_BYTES
+    ? `The stored job has ${bytes} bytes, more than ${MAX_ROW_VALUE_BYTES}.`
+    : null;
+}
+
 /**
  * Decodes the row of a job, whose progress, if there is some, has to belong to it. Throws
  * {@link RowFormatError} for rows that no process of this system writes: the leader's
@@ -33,7 +58,7 @@
   if (job.jobId !== key || !JOB_ID_PATTERN.test(key))
     throw new RowFormatError('The row is stored under a key that is not the id of its job.');
   checkDefinition(job.definition);
-  for (const taskName of progress?.tasks.keys() ?? []) checkTask(taskName, job.definition);
+  if (progress !== undefined) checkProgress(progress, job.definition);
   return job;
 }
 
@@ -56,6 +81,14 @@
   return [processors, memoryBytes, accelerators].every((amount) => amount >= 0 && amount <= MAX_AMOUNT);
 }
 
+function checkProgress({ tasks, doneSteps, doneOccurrences }: JobProgress, definition: JobDefinition): void {
+  for (const taskName of tasks.keys()) checkTask(taskName, definition);
+  for (const stepName of doneSteps) checkTask(`${stepName}.0`, definition);
+  const occurrences = occurrenceCount(definition);
+  if (doneOccurrences.some(([first, last]) => first > last || last >= occurrences))
+    throw new RowFormatError('The progress contains an occurrence that the job does not have.');
+}
+
 function checkTask(taskName: string, definition: JobDefinition): void {
   const [, occurrence, step, index] = TASK_KEY_PATTERN.exec(taskName) ?? [];
   const taskCount = definition.steps[Number(step)]?.taskCount ?? 0;
--- a/store/group_commit_writer.ts
+++ b/store/group_commit_writer.ts
@@ -5,6 +5,7 @@
   isStoreFailure,
   MAX_TRANSACTION_ROWS,
   StoreOutcomeUnknownError,
+  StoreRefusedError,
   StoreUnavailableError,
   type RowAddress,
   type RowStore,
@@ -17,6 +18,9 @@
 /** Maximum number of rows that one transaction creates; each counts twice, as a condition and as a write. */
 const MAX_BATCH_ROWS = MAX_TRANSACTION_ROWS / 2;
 
+/** Maximum size of the values in one transaction, in bytes; the store accepts 1 MB and encodes 3 bytes as 4. */
+const MAX_BATCH_BYTES = 600_000;
+
 interface PendingRow {
   readonly row: RowAddress & { readonly value: string };
   readonly deadlineAtMs: number;
@@ -64,8 +68,8 @@
     // Lets further callers of the same turn add their rows to the transaction.
     await Promise.resolve();
     while (this.pending.length > 0) {
-      const batch = this.pending.slice(0, MAX_BATCH_ROWS);
-      this.pending = this.pending.slice(MAX_BATCH_ROWS);
+      const batch = nextBatch(this.pending);
+      this.pending = this.pending.slice(batch.length);
       const retry = await this.write(batch);
       if (retry.length > 0) await this.options.clock.delay(RETRY_DELAY_MS);
       this.pending = [...retry, ...this.pending];
@@ -84,6 +88,8 @@
       for (const { resolve } of batch) resolve(true);
       return [];
     } catch (error) {
+      // One row may be to blame for all.
+      if (error instanceof StoreRefusedError && batch.length > 1) return this.writeOneByOne(batch);
       if (isStoreFailure(error)) return this.settleFailure(batch, error instanceof StoreOutcomeUnknownError);
       // Only these callers fail; rows that arrive later are still written.
       const reason = error instanceof Error ? error : new Error(String(error));
@@ -92,6 +98,12 @@
     }
   }
 
+  private async writeOneByOne(batch: readonly PendingRow[]): Promise<readonly PendingRow[]> {
+    const retry: PendingRow[] = [];
+    for (const pendingRow of batch) retry.push(...(await this.write([pendingRow])));
+    return retry;
+  }
+
   private settleFailure(batch: readonly PendingRow[], isOutcomeUnknown: boolean): readonly PendingRow[] {
     const nowMs = this.options.clock.monotonicMs();
     const retry: PendingRow[] = [];
@@ -108,6 +120,18 @@
   }
 }
 
+/** The first rows that fit into one transaction together, at least one. */
+function nextBatch(pending: readonly PendingRow[]): readonly PendingRow[] {
+  let bytes = 0;
+  let count = 0;
+  for (const { row } of pending.slice(0, MAX_BATCH_ROWS)) {
+    bytes += Buffer.byteLength(row.value);
+    if (count > 0 && bytes > MAX_BATCH_BYTES) break;
+    count += 1;
+  }
+  return pending.slice(0, count);
+}
+
 /** Settles the rows that already exist, whoever created them, and returns the others to be tried again. */
 function settleConflict(batch: readonly PendingRow[], rows: readonly StoredRow[]): readonly PendingRow[] {
   const existing = new Set(rows.map(addressKey));
--- a/store/memory_row_store.ts
+++ b/store/memory_row_store.ts
@@ -3,8 +3,10 @@
 import {
   addressKey,
   HistoryCompactedError,
+  MAX_ROW_VALUE_BYTES,
   RowStore,
   StoreOutcomeUnknownError,
+  StoreRefusedError,
   StoreUnavailableError,
   type RowChange,
   type RowChanges,
@@ -12,6 +14,7 @@
   type RowSnapshot,
   type RowTransaction,
   type RowTransactionResult,
+  type RowWrite,
   type StoredRow,
 } from './row_store';
 
@@ -44,9 +47,16 @@
   private history: RowChange[] = [];
   private historyStartVersion = 0;
   private version = 0;
+  /** Rows that the store refuses to write. */
+  refuses: (row: RowWrite) => boolean = () => false;
 
-  /** Applies a transaction; `nowMs` is what the store's clock shows. */
+  /**
+   * Applies a transaction; throws {@link StoreRefusedError} for a value that is too large. `nowMs` is what the store's clock shows.
+   */
   apply(transaction: RowTransaction, nowMs = performance.now()): RowTransactionResult {
+    for (const write of transaction.writes)
+      if (Buffer.byteLength(write.value ?? '') > MAX_ROW_VALUE_BYTES || this.refuses(write))
+        throw new StoreRefusedError(`The row ${write.key} was refused.`);
     const currentRows = transaction.conditions.map((condition) => this.rows.get(addressKey(condition)));
     const conditionsHold = transaction.conditions.every(
       (condition, index) => (currentRows[index]?.version ?? 0) === condition.version,
--- a/store/row_store.ts
+++ b/store/row_store.ts
@@ -69,9 +69,23 @@
 /** Maximum number of rows in one transaction, conditions and writes together. */
 export const MAX_TRANSACTION_ROWS = 100;
 
+/**
+ * Maximum size of a row's value, in bytes. The store accepts 65,536 bytes of base64, which
+ * encodes 3 bytes as 4.
+ */
+export const MAX_ROW_VALUE_BYTES = 49_152;
+
 /** The store did not process the call: a transaction was not applied and is safe to retry. */
 export class StoreUnavailableError extends Error {
-  override readonly name = 'StoreUnavailableError';
+  override readonly name: string = 'StoreUnavailableError';
+}
+
+/**
+ * The store refused the transaction itself, for example because a value is too large;
+ * it was not applied, and the same transaction will be refused again.
+ */
+export class StoreRefusedError extends StoreUnavailableError {
+  override readonly name = 'StoreRefusedError';
 }
 
 /** No response arrived: a transaction may have been applied, or may be applied later if its conditions still hold. */
