Have runs that are no longer needed stopped by the next session

Cause: that a run is no longer needed was an event, handled once where it arose. Without a session with the worker the stop was dropped, and a new leader looked at ended jobs only, once, before it had all sessions.

Change: such runs are kept until they are not recorded any more, and whatever session their worker has stops them. Which they are is derived from the stored progress, so that a new leader finds the same ones, also copies of done tasks and the rest of broken gangs. Event 750 and counter placement.stop_delayed show runs whose workers are not listed.

--- a/placement/leader_parts.ts
+++ b/placement/leader_parts.ts
@@ -27,6 +27,7 @@
 import { LeaseEndKeeper } from './lease_end_keeper';
 import { LostRunLog } from './lost_run_log';
 import { LoadReport } from './load_report';
+import { ObsoleteRuns } from './obsolete_runs';
 import { PlacementState } from './placement_state';
 import { PoolDemandTracker } from './pool_demand';
 import { RunResultHandler } from './run_result_handler';
@@ -108,6 +109,7 @@
   readonly leaseEnds: LeaseEndKeeper;
   readonly unrenewedLeases: UnrenewedLeases;
   readonly health: WorkerHealth;
+  readonly obsoleteRuns: ObsoleteRuns;
   readonly resultHandler: RunResultHandler;
   readonly crashHandler: WorkerCrashHandler;
   readonly limiter: StartLimiter;
@@ -169,7 +171,8 @@
   });
   const health = new WorkerHealth();
   const loadReport = new LoadReport();
-  const resultHandler = new RunResultHandler({ ...options, state, fleet, health, loadReport });
+  const obsoleteRuns = new ObsoleteRuns({ ...options, state, fleet });
+  const resultHandler = new RunResultHandler({ ...options, state, obsoleteRuns, health, loadReport });
   const limiter = new AdaptiveStartLimiter(options.processors);
   const forecast = new BurstForecast();
   const burstMemory = new BurstMemoryKeeper({ store, writer, forecast });
@@ -267,6 +270,7 @@
     leaseEnds,
     unrenewedLeases,
     health,
+    obsoleteRuns,
     resultHandler,
     crashHandler,
     limiter,
--- a/placement/placement_leader.ts
+++ b/placement/placement_leader.ts
@@ -1,7 +1,6 @@
 /** The placement leader: active from the acquisition of the lease until the lease is lost or released. */
 import type { Timer } from '../kernel/clock';
 import type { FleetRules } from '../scheduling/fleet_rules';
-import { isEnded } from '../scheduling/job_progress';
 import type { RunResult } from '../scheduling/job_record';
 import { PLACEMENT_PARTITION, PROGRESS_TABLE } from '../scheduling/job_rows';
 import { UnusableRowError } from '../scheduling/platform_row_codec';
@@ -108,8 +107,7 @@
     if (this.hasStopped()) return;
     this.isLoaded = true;
     intake.finishLoading();
-    for (const job of state.jobs.openJobs())
-      if (isEnded(job.record.state)) this.parts.resultHandler.stopRuns(job);
+    for (const { record } of state.jobs.openJobs()) this.parts.obsoleteRuns.add(record.obsoleteRuns());
     void jobFollower.run();
     void workerFollower.run();
     this.tick();
@@ -381,6 +379,7 @@
     if (!this.parts.writer.isValid()) this.parts.writer.renewSoon();
     this.parts.fleet.settleUnreachableRestarts();
     this.parts.fleet.closeIdleSessions();
+    this.parts.obsoleteRuns.tick();
     this.parts.unrenewedLeases.tick();
     this.parts.workerTime.refresh();
     this.parts.reporter.tick();
--- a/placement/placement_state.ts
+++ b/placement/placement_state.ts
@@ -114,6 +114,11 @@
     return [...(this.runsByWorker.get(workerId)?.values() ?? [])];
   }
 
+  /** Whether a run is recorded on its worker. */
+  hasRun(run: TaskRun): boolean {
+    return this.runsByWorker.get(run.workerId)?.has(runKey(run)) === true;
+  }
+
   /** Runs of tasks that were suspected of crashing their workers when they started. */
   suspectRuns(): Iterable<RecordedRun> {
     return this.runsOfSuspects.values();
--- a/placement/run_result_handler.ts
+++ b/placement/run_result_handler.ts
@@ -5,15 +5,15 @@
 import type { Clock } from '../kernel/clock';
 import type { FleetRules } from '../scheduling/fleet_rules';
 import { isEnded } from '../scheduling/job_progress';
-import type { RunResult, TaskRun } from '../scheduling/job_record';
+import type { RunResult } from '../scheduling/job_record';
 import type { Counters } from '../telemetry/counters';
 import { LOG_EVENTS } from '../telemetry/events_catalogue';
 import type { Logger } from '../telemetry/logger';
 import type { OpenJob } from './job_registry';
 import type { LoadReport } from './load_report';
+import type { ObsoleteRuns } from './obsolete_runs';
 import type { PlacementState } from './placement_state';
 import { targetMs } from './plan_request';
-import type { WorkerFleet } from './worker_fleet';
 import type { WorkerHealth } from './worker_health';
 
 /** A run that takes this many times its expected time is logged, so that slow workers can be identified. */
@@ -22,7 +22,7 @@
 export interface RunResultHandlerOptions {
   readonly clock: Clock;
   readonly state: PlacementState;
-  readonly fleet: WorkerFleet;
+  readonly obsoleteRuns: ObsoleteRuns;
   readonly health: WorkerHealth;
   readonly loadReport: LoadReport;
   readonly rules: () => FleetRules | null;
@@ -90,11 +90,10 @@
       return;
     }
     const { task, outcome } = result;
-    if (outcome === 'done') {
-      for (const run of record.task(task).runs) this.stopRun({ ...run, task });
-    } else if (record.step(task.step).isGang) {
-      for (const run of record.runsOfStep(task.occurrence, task.step)) this.stopRun(run);
-    }
+    if (outcome === 'done')
+      this.options.obsoleteRuns.add(record.task(task).runs.map((run) => ({ ...run, task })));
+    else if (record.step(task.step).isGang)
+      this.options.obsoleteRuns.add(record.runsOfStep(task.occurrence, task.step));
   }
 
   private logJobEnd({ record, acceptedAtMs }: OpenJob): void {
@@ -110,10 +109,6 @@
 
   /** Stops all runs of a job. */
   stopRuns({ record }: OpenJob): void {
-    for (const run of record.runs()) this.stopRun(run);
-  }
-
-  private stopRun({ task, run, workerId }: TaskRun): void {
-    this.options.fleet.get(workerId)?.stop(task, run);
+    this.options.obsoleteRuns.add(record.runs());
   }
 }
--- a/scheduling/job_record.ts
+++ b/scheduling/job_record.ts
@@ -156,6 +156,12 @@
     );
   }
 
+  /** Recorded runs of an ended job, of tasks that are done, and of gangs of which a member has ended. */
+  obsoleteRuns(): readonly TaskRun[] {
+    if (isEnded(this.currentState)) return this.runs();
+    return this.runs().filter(({ task }) => this.task(task).isDone || this.isOfBrokenGang(task));
+  }
+
   /** Recorded runs of one step of one occurrence that have not ended. */
   runsOfStep(occurrence: number, step: number): readonly TaskRun[] {
     const { taskCount } = this.step(step);
@@ -377,6 +383,12 @@
     this.done.addStep(occurrence, step);
   }
 
+  /** The runs of a gang are recorded together, so that it is broken once some are missing. */
+  private isOfBrokenGang({ occurrence, step }: TaskId): boolean {
+    const { isGang, taskCount } = this.step(step);
+    return isGang && this.runsOfStep(occurrence, step).length < taskCount;
+  }
+
   private crashKey(id: Omit<TaskId, 'jobId'>): string {
     return taskKey(this.step(id.step).isGang ? { ...id, index: 0 } : id);
   }
--- a/telemetry/events_catalogue.ts
+++ b/telemetry/events_catalogue.ts
@@ -72,6 +72,7 @@
   leaderStepFailed: logEvent(747, 'leader step failed'),
   stopFailed: logEvent(749, 'stop of a run failed'),
   rowRefused: logEvent(751, 'row refused by the store'),
+  stopsDelayed: logEvent(750, 'stops delayed until workers are listed'),
   workerRestarted: logEvent(748, 'worker restart reported'),
   jobAccepted: logEvent(730, 'job accepted'),
   jobRejected: logEvent(731, 'job rejected'),
