Set a refused row aside only when the store accepts others

Change: after a row was refused on its own, the lease is written without it; only if the store accepts that and refuses the row again is it left out. Of an ended job, only tasks with runs are stored. A clock shows a restart without a start time only from 1 s on, since responses overtake each other. A stop counts as without effect only while the worker reports.

--- a/placement/fenced_writer.ts
+++ b/placement/fenced_writer.ts
@@ -83,9 +83,6 @@
   readonly valueBytes: number;
 }
 
-/** A row is set aside after it was refused this often as the only one beside the lease. */
-const MAX_REFUSALS = 2;
-
 /** A row to write. Its value is encoded when a transaction is sent, once for all changes made until then. */
 export interface DeferredWrite extends RowAddress {
   readonly encode: () => string | null;
@@ -99,6 +96,16 @@
   readonly oldestStageNumber: number;
 }
 
+/**
+ * A row that was refused as the only one beside the lease. It is left out once the store has
+ * accepted the lease without it and refuses it again: a store that refuses everything is at
+ * fault itself.
+ */
+interface SuspectRow {
+  readonly key: string;
+  readonly step: 'write_lease_only' | 'write_alone';
+}
+
 interface BatchRow {
   readonly staged: StagedWrite;
   readonly row: RowWrite;
@@ -131,7 +138,7 @@
   private failedAttempts = 0;
   /** Number of rows in a transaction; smaller after a refused one, to find the row that is to blame. */
   private maxBatchRows = MAX_STAGED_ROWS;
-  private refusalCount = 0;
+  private suspect: SuspectRow | null = null;
 
   constructor(private readonly options: FencedWriterOptions) {
     const { lease, leaseMs } = options;
@@ -260,7 +267,8 @@
       this.validity.renew(sentAt);
       for (const { staged } of batch) this.markCommitted(staged);
       this.maxBatchRows = Math.min(MAX_STAGED_ROWS, this.maxBatchRows * 2);
-      this.refusalCount = 0;
+      this.suspect =
+        this.suspect?.step === 'write_lease_only' ? { ...this.suspect, step: 'write_alone' } : null;
       return true;
     } catch (error) {
       if (!isStoreFailure(error)) throw error;
@@ -270,15 +278,16 @@
     }
   }
 
-  /** Makes the next transaction smaller, and sets a row aside that was refused on its own. */
+  /** Handles a refused transaction: makes the next one smaller until the row to blame is found. */
   private narrow(batch: readonly BatchRow[]): void {
     const [first] = batch;
     this.maxBatchRows = Math.max(1, Math.floor(batch.length / 2));
-    if (first === undefined || batch.length > 1) return;
-    this.refusalCount += 1;
-    if (this.refusalCount < MAX_REFUSALS) return;
-    this.refusalCount = 0;
-    this.refuse(first.row);
+    if (batch.length > 1) return;
+    const { suspect } = this;
+    this.suspect = null;
+    if (first === undefined) return;
+    if (suspect?.step === 'write_alone') this.refuse(first.row);
+    else this.suspect = { key: addressKey(first.row), step: 'write_lease_only' };
   }
 
   private refuse({ value, ...address }: RowWrite): void {
@@ -320,11 +329,17 @@
     else this.staged.set(key, { ...current, oldestStageNumber: stageNumber + 1 });
   }
 
+  private rowsToWrite(): Iterable<StagedWrite> {
+    if (this.suspect?.step === 'write_lease_only') return [];
+    const staged = this.suspect === null ? undefined : this.staged.get(this.suspect.key);
+    return staged === undefined ? this.staged.values() : [staged];
+  }
+
   private nextBatch(): readonly BatchRow[] {
     const batch: BatchRow[] = [];
     const tooLarge: RowWrite[] = [];
     let bytes = 0;
-    for (const staged of this.staged.values()) {
+    for (const staged of this.rowsToWrite()) {
       if (batch.length >= this.maxBatchRows) break;
       const { encode, ...address } = staged.write;
       const row = { ...address, value: encode() };
--- a/placement/large_job_test.ts
+++ b/placement/large_job_test.ts
@@ -1,6 +1,6 @@
 /** Guards against a job that outgrows its row, and against one refused row that stops the jobs of everyone. */
 import type { StepDefinition } from '../scheduling/job_definition';
-import { PLACEMENT_PARTITION, progressAddress, PROGRESS_TABLE } from '../scheduling/job_rows';
+import { JOB_TABLE, PLACEMENT_PARTITION, progressAddress, PROGRESS_TABLE } from '../scheduling/job_rows';
 import { MemoryRowStore } from '../store/memory_row_store';
 import { MAX_ROW_VALUE_BYTES } from '../store/row_store';
 import { StoreClock } from '../store/store_clock';
@@ -134,6 +134,22 @@
     expect(harness.starts()).toHaveLength(2);
   });
 
+  test('fails no job while the store refuses everything', async () => {
+    const harness = new PlacementHarness();
+    const worker = await harness.addWorker('w1');
+    const leader = harness.process('a');
+    void leader.run();
+    await harness.submit(SMALL, [STEP]);
+    await harness.advance(500);
+    harness.rows.refuses = ({ table }) => table !== JOB_TABLE;
+    worker.finishAll('done');
+    await harness.advance(1_200);
+    harness.rows.refuses = () => false;
+    await harness.advance(6_000);
+    expect(leader.counters.snapshot().get('placement.row_refused:progress')).toBeUndefined();
+    expect(await harness.state(SMALL)).toBe('completed');
+  });
+
   test('is not written for its size, and the rows beside it are', async () => {
     const harness = new PlacementHarness();
     const clock = harness.clock;
--- a/placement/worker_session.ts
+++ b/placement/worker_session.ts
@@ -42,6 +42,9 @@
 /** Pause after a failed lease call, in milliseconds. */
 const RETRY_MS = 250;
 
+/** Difference of the clocks in two responses that may have overtaken each other, in milliseconds. */
+const MAX_REORDERING_MS = 1_000;
+
 /**
  * Time after which a confirmed stop is sent again if the worker still lists the run, in
  * milliseconds. The platform gives a worker 0.2 s to stop one.
@@ -380,7 +383,7 @@
       await this.options.clock.delay(isConfirmed ? STOP_EFFECT_MS : RETRY_MS);
       const stopping = this.isStopping(key) ? this.runs.get(key) : undefined;
       if (stopping === undefined) return;
-      const reason = failure ?? (isConfirmed ? 'no_effect' : null);
+      const reason = failure ?? (isConfirmed && this.isReachable() ? 'no_effect' : null);
       if (reason !== null) this.options.listener.onStopFailed(this, stopping, reason, attempt);
     }
   }
@@ -544,7 +547,7 @@
     if (startedAtMs !== null && this.current.startedAtMs !== 0)
       return startedAtMs !== this.current.startedAtMs;
     // Without its start, only a clock that has gone back shows a restart.
-    return clockMs !== null && clockMs < (this.lease.lastWorkerClockMs() ?? 0);
+    return clockMs !== null && clockMs < (this.lease.lastWorkerClockMs() ?? 0) - MAX_REORDERING_MS;
   }
 
   /** Records the start of the incarnation if the entry does not contain it. */
--- a/scheduling/job_record.ts
+++ b/scheduling/job_record.ts
@@ -116,11 +116,11 @@
   }
 
   get progress(): JobProgress {
-    // An ended job needs its tasks only while it still has runs.
-    const needsTasks = !isEnded(this.currentState) || this.activeRunCount > 0;
     const state = this.currentState;
-    if (!needsTasks) return { ...INITIAL_JOB_PROGRESS, state };
-    return { state, tasks: this.tasks, crashes: this.crashes, ...this.done.progress };
+    if (!isEnded(state)) return { state, tasks: this.tasks, crashes: this.crashes, ...this.done.progress };
+    // Of an ended job only the runs matter that have to be stopped.
+    const tasks = new Map([...this.tasks].filter(([, { runs }]) => runs.length > 0));
+    return { ...INITIAL_JOB_PROGRESS, state, tasks };
   }
 
   /** Whether the job has ended and has no runs left. */
