--- a/net/http_channel_test.ts
+++ b/net/http_channel_test.ts
@@ -48,6 +48,19 @@
   await expect(channel.call(CALL)).rejects.toThrow(CallOutcomeUnknownError);
 });
 
+test('a new connection and a broken one show that the server may have restarted', async () => {
+  const channel = await serve((_request, response) => response.end('{}'));
+  expect(channel.connectionChanges).toBe(0);
+  await channel.call(CALL);
+  const afterFirst = channel.connectionChanges;
+  expect(afterFirst).toBeGreaterThan(0);
+  await channel.call(CALL);
+  expect(channel.connectionChanges).toBe(afterFirst);
+  servers[0]?.closeAllConnections();
+  await expect(channel.call(CALL).catch(() => channel.call(CALL))).resolves.toMatchObject({ status: 200 });
+  expect(channel.connectionChanges).toBeGreaterThan(afterFirst);
+});
+
 test('a refused connection means that the call was not sent', async () => {
   const channel = new HttpChannel('127.0.0.1:1', 1);
   channels.push(channel);
