Skip the size of each task for jobs that certainly fit into their rows

Change: an upper bound that all but large jobs are within comes first, and steps are settled without parsing their keys.

--- a/scheduling/job_record.ts
+++ b/scheduling/job_record.ts
@@ -28,6 +28,7 @@
 import { DoneWork } from './done_work';
 import {
   CRASH_BYTES,
+  MAX_DONE_TASKS_BYTES,
   MAX_OPEN_BYTES,
   MAX_PROGRESS_BYTES,
   MAX_STEP_BYTES,
@@ -108,7 +109,10 @@
       if (task.isDone) this.incrementDone(key);
     }
     // Earlier versions have stored the tasks of done steps.
-    for (const key of [...this.doneCounts.keys()]) this.settleStep(key);
+    for (const key of [...this.doneCounts.keys()]) {
+      const { occurrence, step } = parseKey(key);
+      this.settleStep(occurrence, step);
+    }
   }
 
   get state(): JobState {
@@ -216,6 +220,7 @@
    * now. Some may always start while no other task is open, so that the job goes on.
    */
   private withinRow(ready: readonly ReadyStep[]): readonly ReadyStep[] {
+    if (this.certainlyFits(ready)) return ready;
     let freeBytes = MAX_OPEN_BYTES - this.openBytes - this.keptStepBytes() - this.crashes.size * CRASH_BYTES;
     if (this.openBytes === 0) freeBytes = Math.max(freeBytes, NEW_TASK_BYTES);
     return ready.flatMap((readyStep) => {
@@ -237,6 +242,13 @@
     });
   }
 
+  /** A quick upper bound, which all but large jobs are within. */
+  private certainlyFits(ready: readonly ReadyStep[]): boolean {
+    let bytes = this.openBytes + this.done.bytes + this.doneCounts.size * MAX_DONE_TASKS_BYTES;
+    for (const { waiting } of ready) bytes += waiting.length * NEW_TASK_BYTES;
+    return bytes + this.crashes.size * CRASH_BYTES <= MAX_OPEN_BYTES;
+  }
+
   /** Unix time at which an occurrence is due, in milliseconds; 0 for jobs that are not repeated. */
   dueAtMs(occurrence: number): number {
     const { repeat } = this.job.definition;
@@ -285,7 +297,7 @@
       this.crashes.delete(this.crashKey(result.task));
     if (result.outcome === 'done') this.markDone(result.task);
     if (result.outcome === 'failed') this.recordFailure(result);
-    this.settleStep(`${result.task.occurrence}.${result.task.step}`);
+    this.settleStep(result.task.occurrence, result.task.step);
     this.completeIfDone();
     return true;
   }
@@ -368,9 +380,9 @@
   }
 
   /** Drops the tasks of a step that is done once none of them has a run. */
-  private settleStep(stepKey: string): void {
-    const { occurrence, step } = parseKey(stepKey);
+  private settleStep(occurrence: number, step: number): void {
     const { taskCount } = this.step(step);
+    const stepKey = `${occurrence}.${step}`;
     if ((this.doneCounts.get(stepKey) ?? 0) < taskCount) return;
     if (this.runsOfStep(occurrence, step).length > 0) return;
     for (let index = 0; index < taskCount; index += 1) {
@@ -412,8 +424,9 @@
   private waitingTasks(occurrence: number, step: number, definition: StepDefinition): readonly number[] {
     const waiting: number[] = [];
     for (let index = 0; index < definition.taskCount; index += 1) {
-      const task = this.task({ occurrence, step, index });
-      if (!task.isDone && task.runs.length === 0) waiting.push(index);
+      // The step is not done, so that a task without an entry has not been started.
+      const task = this.tasks.get(taskKey({ occurrence, step, index }));
+      if (task === undefined || (!task.isDone && task.runs.length === 0)) waiting.push(index);
     }
     // A gang starts again only after all of its members have ended.
     return definition.isGang && waiting.length < definition.taskCount ? [] : waiting;
--- a/scheduling/progress_size.ts
+++ b/scheduling/progress_size.ts
@@ -47,6 +47,9 @@
   return Math.max(NEW_TASK_BYTES, TASK_BYTES + runBytes) + checkpointBytes;
 }
 
+/** Upper bound of {@link stepBytes} for the largest step that is accepted. */
+export const MAX_DONE_TASKS_BYTES = 520;
+
 /** Size of what is kept for the done tasks of a step, in bytes. */
 export function stepBytes({ taskCount }: StepDefinition): number {
   return STEP_BYTES + Math.ceil(taskCount / 4);
