review: case 10, a job stands still once its tenant's limit is below one task

Cause: a step whose single task takes more than the whole limit of its team fits under it at no time, even while the team runs nothing; the job neither starts nor ends.

--- a/review/lib-2/small_deployment.ts
+++ b/review/lib-2/small_deployment.ts
@@ -143,11 +143,18 @@
     for (let number = 0; number < this.options.workers; number += 1) await this.addWorker(`worker-${number}`);
   }
 
-  /** Writes a configuration, as the operator does. */
-  configure(version: number, queues: readonly StandinQueue[]): void {
+  /** Writes a configuration, as the operator does; `capMillicores` is the limit of the tenant, 0 for none. */
+  configure(version: number, queues: readonly StandinQueue[], capMillicores = 0): void {
     const rules = { version, queues, poolIds: [POOL], keyByClientAccount: { desk: KEY } };
-    this.store.rows.apply({ conditions: [], writes: [encodeRules(rules)] });
-    this.record.write(`configuration ${version}: routes ${queues.map(({ queueId }) => queueId).join(', ')}`);
+    const row = encodeRules(rules);
+    const value = JSON.parse(row.value ?? '') as { readonly tenants: readonly object[] };
+    const tenants = value.tenants.map((tenant) => ({ ...tenant, cap: { cpu: capMillicores } }));
+    this.store.rows.apply({
+      conditions: [],
+      writes: [{ ...row, value: JSON.stringify({ ...value, tenants }) }],
+    });
+    const names = queues.map(({ queueId }) => queueId).join(', ');
+    this.record.write(`configuration ${version}: routes ${names}; cap of the tenant ${capMillicores}`);
   }
 
   /** Orders the upkeep of machines, as the operator does. */
