--- a/review/10/case.ts
+++ b/review/10/case.ts
@@ -1,56 +1,41 @@
-/** The operator lowers the limit of a tenant below one task of a job that was accepted before. */
+/** An empty worker is added, and the operator orders the upkeep of its machine right after. */
 import { CaseError, HAS_TROUBLE, RECORD_FILE, runCase } from '../lib-2/case_main';
-import { QUEUE, SmallDeployment } from '../lib-2/small_deployment';
+import type { SmallDeployment } from '../lib-2/small_deployment';
+import { SmallDeployment as Deployment } from '../lib-2/small_deployment';
 
-const TASK_MS = 4_000;
-const TASK_MILLICORES = 4_000;
-const CAP_MILLICORES = 16_000;
-const LOWERED_CAP_MILLICORES = 3_800;
-
-/** `finish_s` of the pages, and the 3 s for which nothing may be running after it. */
-const FINISH_MS = 14_000;
-const IDLE_MS = 3_000;
-
-const JOB_ID = '5c0e7a21d94b36f8';
-const JOB_PATH = `/jobs/${JOB_ID}`;
-
-function jobBody(): string {
-  const step = { count: 1, cpu: TASK_MILLICORES, 'mem-mb': 64, 'estimate-ms': TASK_MS };
-  return JSON.stringify({ spec: 'two steps', steps: [step, { ...step, after: [0] }] });
-}
+const WAVE = 1;
+const TERM_S = 26;
 
 async function play(deployment: SmallDeployment): Promise<void> {
-  const { fronts, record, running, done } = deployment;
-  const [front, other] = fronts;
-  if (front === undefined || other === undefined) throw new CaseError('There is no front machine.');
+  const { fronts, record } = deployment;
   await deployment.startFronts(fronts);
-  deployment.configure(2, [QUEUE], CAP_MILLICORES);
-  await deployment.delay(2_000);
-  const [status] = await deployment.call(front, 'POST', JOB_PATH, jobBody());
-  if (status !== 200) throw new CaseError('The job was not accepted.');
-  await deployment.delay(1_000);
-  if (!running.has(`${JOB_ID}.0.0.0`)) throw new CaseError('The first step has not started.');
-  if (HAS_TROUBLE) deployment.configure(3, [QUEUE], LOWERED_CAP_MILLICORES);
-  await deployment.delay(2 * TASK_MS + FINISH_MS);
-  const isIdle = (): boolean => [...running.values()].every((runs) => runs.length === 0);
-  const wasIdle = isIdle();
-  await deployment.delay(IDLE_MS);
-  const [answer, text] = await deployment.call(other, 'GET', JOB_PATH);
-  if (answer !== 200) deployment.report(`LOST: the accepted job is not known: ${answer}`);
-  if (!done.has(`${JOB_ID}.0.1.0`) && wasIdle && isIdle())
-    deployment.report(`LOST: the accepted job has nothing running and its second step has not run: ${text}`);
+  await deployment.delay(4_000);
+  await deployment.addWorker('worker-new');
+  record.write('added: worker-new on machine-of-worker-new');
+  if (!HAS_TROUBLE) await deployment.delay(10_000);
+  deployment.orderWave(WAVE, ['machine-of-worker-new'], TERM_S, 1);
+  let status = '';
+  for (let waitedMs = 0; waitedMs < TERM_S * 1_000; waitedMs += 100) {
+    await deployment.delay(100);
+    const latest = deployment.waveStatus(WAVE);
+    if (latest !== status) record.write(`status of the wave: ${latest}`);
+    status = latest;
+    if (status.includes('completed')) break;
+  }
+  if (status === '') throw new CaseError('Nothing is said of the wave.');
+  if (status.includes('completed') && !deployment.begunUpkeep.has('machine-of-worker-new'))
+    deployment.report('MIXED: the wave is said to be completed, and its machine has not begun its upkeep');
   await deployment.delay(15_000);
-  await deployment.call(other, 'GET', JOB_PATH);
-  record.write(`second step done: ${String(done.has(`${JOB_ID}.0.1.0`))}`);
+  record.write(`machines whose upkeep has begun: ${[...deployment.begunUpkeep].join(', ') || 'none'}`);
 }
 
 void runCase(
-  new SmallDeployment({
+  new Deployment({
     recordFile: RECORD_FILE,
     fronts: 3,
     workers: 4,
     maxLeaseMs: 10_000,
-    runTimeMs: () => TASK_MS,
+    runTimeMs: () => 1_000,
   }),
   play,
 );
--- a/review/6/case.ts
+++ b/review/6/case.ts
@@ -6,8 +6,9 @@
 /** `hold-max-ms` of the deployment in the pages with the shortest leases. */
 const MAX_LEASE_MS = 6_000;
 
-/** Length of the cut, the longest that the pages name for machines and workers that are cut off. */
-const CUT_MS = 12_000;
+/** Length of one cut, as the pages have it, and the number of cuts, one right after the other. */
+const CUT_MS = 5_000;
+const CUTS = 2;
 
 const TASK_MS = 30_000;
 const JOB_ID = '5c0e7a21d94b36f8';
@@ -39,9 +40,12 @@
       if (front !== leader)
         for (const name of [leader.name, run.workerId]) front.links.get(name)?.setMode('silent');
   }
-  await deployment.delay(CUT_MS);
+  for (let cut = 1; cut <= CUTS; cut += 1) {
+    if (HAS_TROUBLE) record.write(`cut ${cut} of ${CUTS} begins`);
+    await deployment.delay(CUT_MS);
+  }
   if (HAS_TROUBLE) {
-    record.write('the cut has ended');
+    record.write('the cuts have ended');
     deployment.setRegistration(run.workerId, false);
     deployment.setLinks(leader, false, leader.links.keys());
     for (const front of fronts) for (const link of front.links.values()) link.setMode('passing');
@@ -55,8 +59,8 @@
 void runCase(
   new SmallDeployment({
     recordFile: RECORD_FILE,
-    fronts: 3,
-    workers: 4,
+    fronts: 4,
+    workers: 5,
     maxLeaseMs: MAX_LEASE_MS,
     runTimeMs: () => TASK_MS,
   }),
--- a/review/lib-2/case_main.ts
+++ b/review/lib-2/case_main.ts
@@ -17,6 +17,10 @@
   play: (deployment: SmallDeployment) => Promise<void>,
 ): Promise<void> {
   let code = 2;
+  for (const signal of ['SIGINT', 'SIGTERM'] as const)
+    process.once(signal, () => {
+      void deployment.close().then(() => process.exit(2));
+    });
   try {
     await deployment.start();
     await play(deployment);
