Complete a wave only without instances that are known to be removed

Cause: an instance that the latest read of the instance list lacked counted as removed, however old that read was. An empty or partly undecodable list completed every wave, and a completed wave was never looked at again.

Change: an instance is outstanding until its maintenance has begun or two complete reads that began after the leader met the order show that it was removed (placement/outstanding_instances.ts). The same evidence serves workers that cannot be reached. A wave is reopened for an instance that is listed later (event 739).

It works because no read that could be older than an instance decides about it any more.

--- a/placement/instance_controller.ts
+++ b/placement/instance_controller.ts
@@ -21,6 +21,7 @@
 import { InstanceZones } from './instance_zones';
 import { InstanceDirectory, type CommandKind } from './instance_directory';
 import type { FencedWriter } from './fenced_writer';
+import { OutstandingInstances } from './outstanding_instances';
 import type { PlacementState } from './placement_state';
 import type { PoolDemandTracker } from './pool_demand';
 import { WaveProgressKeeper } from './wave_progress_keeper';
@@ -64,6 +65,7 @@
 
 export class InstanceController {
   private readonly directory: InstanceDirectory;
+  private readonly outstanding: OutstandingInstances;
   private readonly waveProgress: WaveProgressKeeper;
   private readonly zones: InstanceZones;
   private readonly drainingForWave = new Set<string>();
@@ -90,6 +92,7 @@
     this.zones = new InstanceZones(options);
     this.waveProgress = new WaveProgressKeeper(options);
     this.directory = new InstanceDirectory({ clock, operations, counters });
+    this.outstanding = new OutstandingInstances({ clock, directory: this.directory });
   }
 
   /** Loads the wave progress that earlier leaders have stored. Throws the errors of {@link RowStore.read}. */
@@ -199,14 +202,14 @@
 
   private advanceWave(wave: MaintenanceWave, rules: FleetRules): void {
     const progress = this.waveProgress.progressOf(wave);
-    if (progress === null || progress.isCompleted) return;
-    const begun = new Set(progress.begun);
-    const remaining = wave.instanceIds.filter((id) => !begun.has(id) && this.directory.get(id) !== undefined);
-    if (remaining.length === 0) {
-      this.waveProgress.save(wave, { ...progress, isCompleted: true });
-      return;
-    }
-    for (const id of remaining) this.dueForWave.add(id);
+    if (progress === null) return;
+    const outstanding = this.outstanding.of(wave, progress);
+    const remaining = outstanding.filter((id) => this.directory.get(id) !== undefined);
+    // An instance may be listed only after the wave was completed without it.
+    const isCompleted = outstanding.length === 0 || (progress.isCompleted && remaining.length === 0);
+    if (isCompleted !== progress.isCompleted) this.waveProgress.save(wave, { ...progress, isCompleted });
+    if (isCompleted) return;
+    for (const id of outstanding) this.dueForWave.add(id);
     const { maintain, drain } = planWave({
       remaining: remaining.map((id) => this.waveInstance(id, rules)),
       downCount: wave.instanceIds.filter((id) => this.isDownForWave(id)).length,
@@ -216,7 +219,7 @@
       expectedDownMs: EXPECTED_MAINTENANCE_MS,
     });
     for (const id of drain) this.drainingForWave.add(id);
-    this.logWave(wave, remaining);
+    this.logWave(wave, outstanding);
     for (const id of maintain) {
       if (!this.mayCommand()) break;
       void this.maintain(id, wave);
@@ -224,22 +227,23 @@
   }
 
   /** Logs, at most once a second, why instances of a wave have not begun their maintenance. */
-  private logWave({ waveNumber }: MaintenanceWave, remaining: readonly string[]): void {
+  private logWave({ waveNumber }: MaintenanceWave, outstanding: readonly string[]): void {
     const nowMs = this.options.clock.monotonicMs();
     if (nowMs - (this.waveLoggedAtMs.get(waveNumber) ?? -Infinity) < WAVE_LOG_INTERVAL_MS) return;
     this.waveLoggedAtMs.set(waveNumber, nowMs);
-    const instances = remaining.flatMap((id) => this.directory.get(id) ?? []);
+    const instances = outstanding.flatMap((id) => this.directory.get(id) ?? []);
     const longRunning = instances.filter(
       ({ workerId }) => this.options.state.longRunningCountOn(workerId) > 0,
     );
     this.options.logger.info(LOG_EVENTS.waveProgress, {
       waveNumber,
-      remaining: remaining.length,
+      remaining: outstanding.length,
+      notListed: outstanding.length - instances.length,
       notUp: instances.filter(({ state }) => state !== 'up').length,
       busy: instances.filter(({ instanceId }) => this.runCount(instanceId) > 0).length,
       withLongRunningTasks: longRunning.length,
-      draining: remaining.filter((id) => this.drainingForWave.has(id)).length,
-      blockedByCommand: remaining.filter((id) => this.isCommandBlocked(id)).length,
+      draining: outstanding.filter((id) => this.drainingForWave.has(id)).length,
+      blockedByCommand: outstanding.filter((id) => this.isCommandBlocked(id)).length,
       examples: instances.slice(0, 3).map(({ instanceId, poolId }) => [instanceId, poolId]),
     });
   }
--- a/placement/instance_directory.ts
+++ b/placement/instance_directory.ts
@@ -91,23 +91,32 @@
 
   /**
    * Whether reads that began after `unreachableSinceMs` show that the worker no longer runs
-   * on its instance. A worker that is only unreachable is still shown as up. An instance
-   * that is not listed has been removed; two reads have to agree, since a list of several
-   * pages may miss an instance while others are added or removed.
+   * on its instance. A worker that is only unreachable is still shown as up.
    */
   hasWorkerStopped(instanceId: string, workerId: string, unreachableSinceMs: number): boolean {
     // The entry of a worker may lack its instance.
     if (instanceId === '' || this.current.beganAtMs <= unreachableSinceMs) return false;
     const instance = this.current.instances.get(instanceId);
     if (instance?.state === 'down') return true;
+    if (instance === undefined) return this.isInstanceAbsent(instanceId, unreachableSinceMs);
     if (!this.isUpToDate(unreachableSinceMs)) return false;
-    if (instance === undefined)
-      return (
-        this.current.showsAbsence && this.previous.showsAbsence && !this.previous.instances.has(instanceId)
-      );
     return instance.workerId !== '' && instance.workerId !== workerId;
   }
 
+  /**
+   * Whether the last two reads show that there is no such instance, and the list is not
+   * behind `sinceMs`. Two reads have to agree, since a list of several pages may miss an
+   * instance while others are added or removed.
+   */
+  isInstanceAbsent(instanceId: string, sinceMs: number): boolean {
+    return (
+      this.isUpToDate(sinceMs) &&
+      [this.current, this.previous].every(
+        ({ showsAbsence, instances }) => showsAbsence && !instances.has(instanceId),
+      )
+    );
+  }
+
   /**
    * Whether the last two reads show the worker on no instance that is up, and the list is not
    * behind `sinceMs`. An instance that is up without a worker id may run any worker.
--- a/placement/wave_progress_keeper.ts
+++ b/placement/wave_progress_keeper.ts
@@ -56,14 +56,17 @@
     return progress;
   }
 
-  save({ waveNumber }: MaintenanceWave, progress: WaveProgress): void {
+  save({ waveNumber, instanceIds }: MaintenanceWave, progress: WaveProgress): void {
     const { writer, rowCodec, logger } = this.options;
-    const hasStateChanged = this.progressByWave.get(waveNumber)?.isCompleted !== progress.isCompleted;
+    const known = this.progressByWave.get(waveNumber);
+    const hasStateChanged = known?.isCompleted !== progress.isCompleted;
     this.progressByWave.set(waveNumber, progress);
     writer.stage({ ...waveAddress(waveNumber), value: encodeWaveProgress(progress) });
     if (!hasStateChanged) return;
     writer.stage(rowCodec.encodeWaveStatus(waveNumber, progress.isCompleted));
-    if (progress.isCompleted) logger.info(LOG_EVENTS.waveCompleted, { waveNumber });
+    const counts = { ordered: instanceIds.length, begun: progress.begun.length };
+    if (progress.isCompleted) logger.info(LOG_EVENTS.waveCompleted, { waveNumber, ...counts });
+    else if (known !== undefined) logger.warn(LOG_EVENTS.waveReopened, { waveNumber, ...counts });
   }
 
   private loadRow(waveNumber: number, value: string): void {
--- a/telemetry/events_catalogue.ts
+++ b/telemetry/events_catalogue.ts
@@ -56,6 +56,7 @@
   waveProgress: logEvent(728, 'maintenance wave in progress'),
   leaseUnusable: logEvent(729, 'lease row unusable'),
   waveRowUnusable: logEvent(733, 'wave row unusable'),
+  waveReopened: logEvent(739, 'maintenance wave reopened'),
   leaderMadeWay: logEvent(734, 'leader makes way for a larger machine'),
   runsLost: logEvent(735, 'runs lost with their worker'),
   runsAwaitExpiry: logEvent(736, 'runs await the end of their lease'),
