Bound the leases that a leader without its own lease renews

Cause: a leader that had lost the store renewed the leases of workers without limit, while a successor counts the longest lease from its own start. Where no successor reached the worker to fence the earlier leader, nothing ended the renewals.

Change: a renewal lasts no longer than the longest lease from the latest moment at which there certainly was no successor (placement/ sole_leadership.ts): now while the own lease holds, then its end, or the moment at which all registered processes were asked and each ruled a later leader out (relay/). Starts are bounded alike. Evidence is aged by whichever clock shows more.

A successor starts after each of these moments, so that the time which it counts covers every renewal. The tests of sessions and succession got the new options.

--- a/bench/leader/leader_under_load.ts
+++ b/bench/leader/leader_under_load.ts
@@ -78,6 +78,7 @@
     processCount: () => 1,
     counters,
     logger: Logger.create({ level: 'info', destination: { write: () => undefined } }),
+    ruleOutSuccessor: () => Promise.resolve(false),
     onStoreUnreachable: () => undefined,
     onLost: () => {
       throw new Error('The lease was lost during the benchmark.');
--- a/daemon/capabilities.ts
+++ b/daemon/capabilities.ts
@@ -33,6 +33,8 @@
 export interface LeaderHandover {
   /** Sets the listener for requests of the placement leader of `epoch` that this process succeed it. */
   readonly onTakeoverRequest: (listener: (epoch: number) => void) => void;
+  /** Sets how this process tells whether there has been a leader later than that of `epoch`. */
+  readonly setLaterLeaderCheck: (knowsLaterLeader: (epoch: number) => boolean) => void;
   /**
    * Addresses of registered processes that have far more processors and should
    * therefore be the placement leader instead, the largest first.
--- a/placement/_placement_harness.ts
+++ b/placement/_placement_harness.ts
@@ -18,6 +18,7 @@
 import { PlatformRowCodec, UnusableRowError, type OperatorRow } from '../scheduling/platform_row_codec';
 import type { MaintenanceWave } from '../scheduling/maintenance_wave';
 import type { WorkerEntry } from '../scheduling/worker_entry';
+import type { WorkerGateway } from '../scheduling/worker_gateway';
 import { MemoryRows, MemoryRowStore } from '../store/memory_row_store';
 import { isStoreFailure, type RowWrite } from '../store/row_store';
 import { MemoryCounters } from '../telemetry/counters';
@@ -140,6 +141,8 @@
   readonly instances = new FakeInstanceOperations();
   readonly waves = new Map<number, MaintenanceWave>();
   instanceCommandsPerSecond = 1_000;
+  /** Number of processes that were created until now. */
+  createdProcesses = 0;
   processCount: (() => number) | null = () => 1;
   advice: PlacementAdvice | null = null;
   avoidsInterference = true;
@@ -215,7 +218,13 @@
     fields: Partial<JobDefinition> = {},
   ): Promise<void> {
     const definition = { spec: 's', steps, repeat: null, ...fields };
-    await this.jobOperations.submit({ jobId, queueId: 'q', teamId: 't', definition, deadlineAtMs: Infinity });
+    await this.jobOperations.submit({
+      jobId,
+      queueId: 'q',
+      teamId: 't',
+      definition,
+      deadlineAtMs: Infinity,
+    });
   }
 
   async cancel(jobId: string): Promise<void> {
@@ -234,6 +243,7 @@
   }
 
   process(name: string, options: { readonly hasLargerPeer?: boolean } = {}): HarnessProcess {
+    this.createdProcesses += 1;
     return new HarnessProcess(this, name, options.hasLargerPeer);
   }
 
@@ -255,6 +265,10 @@
 export class HarnessProcess {
   readonly store: MemoryRowStore;
   readonly counters = new MemoryCounters();
+  /** What this process uses to call workers; replaced where it does not reach all of them. */
+  gateway: WorkerGateway;
+  /** As in {@link SoleLeadershipOptions}; here the other processes are asked only where a test says so. */
+  ruleOutSuccessor: () => Promise<boolean>;
   closedZones: () => ClosedZones = () => NO_CLOSED_ZONES;
   leader: PlacementLeader | null = null;
   leadershipLossCount = 0;
@@ -266,6 +280,8 @@
     hasLargerPeer = false,
   ) {
     this.store = new MemoryRowStore(harness.rows, harness.clock);
+    this.gateway = harness.gateway;
+    this.ruleOutSuccessor = () => Promise.resolve(harness.createdProcesses === 1);
     this.election = new LeaderElection({
       store: this.store,
       clock: harness.clock,
@@ -285,7 +301,7 @@
       store: this.store,
       clock: harness.clock,
       rowCodec: new JsonRowCodec(),
-      gateway: harness.gateway,
+      gateway: this.gateway,
       instances: harness.instances,
       advice: harness.advice,
       rules: () => harness.rules,
@@ -302,6 +318,7 @@
       processCount: harness.processCount,
       counters: this.counters,
       logger: Logger.create({ level: 'silent' }),
+      ruleOutSuccessor: () => this.ruleOutSuccessor(),
       onStoreUnreachable: () => undefined,
       onLost: () => {
         this.leadershipLossCount += 1;
--- a/placement/fenced_writer.ts
+++ b/placement/fenced_writer.ts
@@ -14,7 +14,7 @@
 import type { StoreClock } from '../store/store_clock';
 import type { AcquiredLease } from './leader_election';
 import { decodeLease, encodeLease, LEASE_ADDRESS, type LeaseRow } from './lease_row';
-import { momentOf, ValidityWindow } from './validity_window';
+import { elapsedMs, momentOf, ValidityWindow, type Moment } from './validity_window';
 
 /**
  * Maximum number of rows besides the lease in one transaction; the condition and the
@@ -134,6 +134,8 @@
   private isClosed = false;
   private timer: Timer | null = null;
   private lastSentAtMs: number;
+  /** When the latest transaction that took effect was sent. */
+  private renewedAt: Moment;
   private lastCommitAtMs: number;
   private failedAttempts = 0;
   /** Number of rows in a transaction; smaller after a refused one, to find the row that is to blame. */
@@ -146,6 +148,7 @@
     this.leaseVersion = lease.version;
     this.validity = new ValidityWindow(options.clock, leaseMs - EXPIRY_MARGIN_MS, lease.sentAt);
     this.lastSentAtMs = lease.sentAt.monotonicMs;
+    this.renewedAt = lease.sentAt;
     this.lastCommitAtMs = lease.sentAt.monotonicMs;
     this.schedule(RENEW_INTERVAL_MS);
   }
@@ -159,6 +162,11 @@
     return !this.isClosed && this.validity.isOpen();
   }
 
+  /** Time since the latest transaction that took effect was sent, in milliseconds. */
+  sinceRenewalMs(): number {
+    return elapsedMs(this.options.clock, this.renewedAt);
+  }
+
   /** Renews the lease now, for example after the wall clock has jumped. */
   renewSoon(): void {
     if (!this.isCommitting) this.scheduleCommit();
@@ -265,6 +273,7 @@
       this.observeStoreClock(result.storeMs, sentAt.monotonicMs);
       this.failedAttempts = 0;
       this.validity.renew(sentAt);
+      this.renewedAt = sentAt;
       for (const { staged } of batch) this.markCommitted(staged);
       this.maxBatchRows = Math.min(MAX_STAGED_ROWS, this.maxBatchRows * 2);
       this.suspect =
--- a/placement/leader_parts.ts
+++ b/placement/leader_parts.ts
@@ -35,6 +35,7 @@
 import { PoolShortage } from './pool_shortage';
 import { PressurePublisher } from './pressure_publisher';
 import { RunResultHandler } from './run_result_handler';
+import { SoleLeadership, type SoleLeadershipOptions } from './sole_leadership';
 import { SuspectIsolation } from './suspect_isolation';
 import type { SessionListener } from './session_listener';
 import { TaskPlacer } from './task_placer';
@@ -91,6 +92,8 @@
   readonly processCount: (() => number) | null;
   readonly counters: Counters;
   readonly logger: Logger;
+  /** As in {@link SoleLeadershipOptions}. */
+  readonly ruleOutSuccessor: SoleLeadershipOptions['ruleOutSuccessor'];
   /** Called several times a second while this process's transactions fail. */
   readonly onStoreUnreachable: () => void;
   /** Called once when leadership is lost. */
@@ -116,6 +119,7 @@
 export interface LeaderParts {
   readonly writer: FencedWriter;
   readonly state: PlacementState;
+  readonly soleLeadership: SoleLeadership;
   readonly fleet: WorkerFleet;
   readonly advice: AdviceCache;
   readonly lostRunLog: LostRunLog;
@@ -173,6 +177,7 @@
   const workerAddresses = new WorkerAddressKeeper({ store, writer });
   const leaseEnds = new LeaseEndKeeper({ store, clock, storeClock, writer });
   const advice = new AdviceCache({ clock, advice: options.advice, counters, onResponse: onPlanNeeded });
+  const soleLeadership = new SoleLeadership({ ...options, writer });
   const fleet = new WorkerFleet({
     lostRunLog,
     leaseEnds,
@@ -182,6 +187,7 @@
     fencingToken: lease.row.epoch,
     maxLeaseMs: maxWorkerLeaseMs,
     mayAct: () => writer.isValid(),
+    uncertainForMs: () => soleLeadership.uncertainForMs(),
     recordedRuns: (workerId) => state.runsOn(workerId),
     onCrash: hooks.onWorkerCrashed,
     onIncarnationReplaced: (workerId) => {
@@ -311,6 +317,7 @@
   return {
     writer,
     state,
+    soleLeadership,
     fleet,
     advice,
     lostRunLog,
--- a/placement/leader_succession.ts
+++ b/placement/leader_succession.ts
@@ -1,6 +1,6 @@
 /** Hands leadership over to a process that can lead better: one that reaches the store, or a larger one. */
 import type { Clock } from '../kernel/clock';
-import { MAY_TAKE_OVER, TAKE_OVER } from '../relay/relay_calls';
+import { MAY_TAKE_OVER, RULE_OUT_LATER_LEADER, TAKE_OVER } from '../relay/relay_calls';
 import { RelayOutcomeUnknownError, type RelayClient } from '../relay/relay_client';
 import { LOG_EVENTS } from '../telemetry/events_catalogue';
 import type { Logger } from '../telemetry/logger';
@@ -12,6 +12,12 @@
  */
 const HANDOVER_TIMEOUT_MS = 300;
 
+/**
+ * Timeout of a call that asks whether there is a later leader, in milliseconds. It is asked
+ * again and again during an outage of the store, in which leases of several seconds run out.
+ */
+const RULE_OUT_TIMEOUT_MS = 1_000;
+
 /**
  * Interval at which a leader on a small machine looks for a larger one that can lead
  * instead, in milliseconds. A small machine cannot carry a burst, and an outage of the
@@ -21,7 +27,7 @@
 
 export interface LeaderSuccessionOptions {
   readonly clock: Clock;
-  readonly client: Pick<RelayClient, 'findAcceptingPeer' | 'callPeer'>;
+  readonly client: Pick<RelayClient, 'findAcceptingPeer' | 'isAcceptedByAll' | 'callPeer'>;
   /** Addresses of processes on far larger machines, the largest first. */
   readonly largerPeerAddresses: () => readonly string[];
   readonly leader: Pick<PlacementLeader, 'hasStopped' | 'holdInstanceCommands' | 'resign' | 'release'>;
@@ -56,6 +62,13 @@
     this.isHandingOver = false;
   }
 
+  /** Asks all other processes, as {@link SoleLeadership} needs it. */
+  ruleOutSuccessor(sinceRenewalMs: number): Promise<boolean> {
+    const { client, epoch } = this.options;
+    const params = { epoch, sinceMs: sinceRenewalMs };
+    return client.isAcceptedByAll(RULE_OUT_LATER_LEADER, params, RULE_OUT_TIMEOUT_MS);
+  }
+
   /**
    * Releases the lease once a process on a far larger machine can take over; returns when
    * the leader has stopped. `onReleased` is called after the lease has been released.
--- a/placement/leader_succession_test.ts
+++ b/placement/leader_succession_test.ts
@@ -32,6 +32,7 @@
     clock: harness.clock,
     client: {
       findAcceptingPeer: (_method, _params, _timeoutMs, addresses) => Promise.resolve(addresses?.[0] ?? null),
+      isAcceptedByAll: () => Promise.resolve(false),
       callPeer: (_address, _method, { epoch }: { readonly epoch?: number }) => {
         large.onLeaderResigned(epoch ?? 0);
         return Promise.resolve({ kind: 'done', value: true });
@@ -78,6 +79,7 @@
     clock: harness.clock,
     client: {
       findAcceptingPeer: () => Promise.resolve('large:1'),
+      isAcceptedByAll: () => Promise.resolve(false),
       callPeer: () => Promise.resolve({ kind: 'done', value: true }),
     },
     largerPeerAddresses: () => ['large:1'],
--- a/placement/lease_end_keeper.ts
+++ b/placement/lease_end_keeper.ts
@@ -25,10 +25,7 @@
   readonly workerStartedAtMs: number;
   /** When this process last requested the lease, or took over from the leader that may have done so. */
   readonly requestedAtMs: number;
-  /**
-   * From when on nothing runs on the incarnation, unless the lease is requested again. An
-   * earlier leader that is cut off from the store together with the worker may do so.
-   */
+  /** From when on nothing runs on the incarnation, unless the lease is requested again. */
   readonly endsAtMs: number;
 }
 
--- a/placement/placement_leader.ts
+++ b/placement/placement_leader.ts
@@ -386,6 +386,7 @@
     });
     if (this.parts.writer.isStoreUnreachable()) this.options.onStoreUnreachable();
     if (!this.parts.writer.isValid()) this.parts.writer.renewSoon();
+    this.parts.soleLeadership.refresh();
     this.parts.fleet.settleUnreachableRestarts();
     this.parts.fleet.closeIdleSessions();
     this.parts.obsoleteRuns.tick();
--- a/placement/placement_plugin.ts
+++ b/placement/placement_plugin.ts
@@ -49,6 +49,8 @@
   private kernel: Kernel | null = null;
   private election: LeaderElection | null = null;
   private leader: PlacementLeader | null = null;
+  /** Highest epoch of a leader, this process included, that this process knows of. */
+  private latestEpoch = 0;
   private isStopped = false;
 
   override setUp(kernel: Kernel): void {
@@ -62,6 +64,7 @@
     kernel.use(LEADER_HANDOVER).onTakeoverRequest((epoch) => {
       this.election?.onLeaderResigned(epoch);
     });
+    kernel.use(LEADER_HANDOVER).setLaterLeaderCheck((epoch) => this.latestEpoch > epoch);
   }
 
   override start(): Promise<void> {
@@ -77,6 +80,11 @@
     this.leader = null;
   }
 
+  private observeEpoch(kernel: Kernel, epoch: number): void {
+    this.latestEpoch = Math.max(this.latestEpoch, epoch);
+    kernel.use(LEADER_EPOCHS).observe(epoch);
+  }
+
   private hasStopped(): boolean {
     return this.isStopped;
   }
@@ -91,7 +99,9 @@
         identity,
         leaseMs: LEADER_LEASE_MS,
         hasLargerPeer: () => kernel.use(LEADER_HANDOVER).largerPeerAddresses().length > 0,
-        onEpoch: kernel.use(LEADER_EPOCHS).observe,
+        onEpoch: (epoch) => {
+          this.observeEpoch(kernel, epoch);
+        },
         onUnusableLease: ({ message }) => {
           kernel.use(COUNTERS).increment('placement.lease_unusable');
           kernel.use(LOGGER).error(LOG_EVENTS.leaseUnusable, { reason: message });
@@ -99,7 +109,7 @@
       });
       const lease = await this.election.acquire();
       if (lease === null) return;
-      kernel.use(LEADER_EPOCHS).observe(lease.row.epoch);
+      this.observeEpoch(kernel, lease.row.epoch);
       kernel.use(LOGGER).info(LOG_EVENTS.leaseAcquired, { epoch: lease.row.epoch });
       await this.lead(kernel, lease);
       await kernel.clock.delay(REACQUIRE_DELAY_MS);
@@ -134,6 +144,7 @@
         processCount: isAdmissionOn ? kernel.use(LEADER_HANDOVER).processCount : null,
         counters: kernel.use(COUNTERS),
         logger: kernel.use(LOGGER),
+        ruleOutSuccessor: (sinceRenewalMs): Promise<boolean> => succession.ruleOutSuccessor(sinceRenewalMs),
         onStoreUnreachable: () => {
           void succession.resignIfPeerReachesStore();
         },
--- a/placement/validity_window.ts
+++ b/placement/validity_window.ts
@@ -19,6 +19,22 @@
   return { monotonicMs: clock.monotonicMs(), wallMs: clock.wallMs() };
 }
 
+/**
+ * Time since a moment by the clock that shows more: the monotonic clock leaves out the
+ * time for which the machine was suspended, and the wall clock may jump.
+ *
+ * @example
+ * ```ts
+ * const sentAt = momentOf(clock);
+ * await call();
+ * const tookMs = elapsedMs(clock, sentAt);
+ * ```
+ */
+export function elapsedMs(clock: Clock, since: Moment): number {
+  const { monotonicMs, wallMs } = momentOf(clock);
+  return Math.max(monotonicMs - since.monotonicMs, wallMs - since.wallMs);
+}
+
 /**
  * A permission is valid only while both clocks say so. The monotonic clock leaves out the
  * time for which the machine was suspended, and the wall clock may jump: after a jump
@@ -45,7 +61,6 @@
   }
 
   isOpen(): boolean {
-    const { monotonicMs, wallMs } = momentOf(this.clock);
-    return monotonicMs - this.since.monotonicMs < this.lengthMs && wallMs - this.since.wallMs < this.lengthMs;
+    return elapsedMs(this.clock, this.since) < this.lengthMs;
   }
 }
--- a/placement/worker_fleet.ts
+++ b/placement/worker_fleet.ts
@@ -27,6 +27,7 @@
   readonly maxLeaseMs: number;
   /** Whether the leader may act; see {@link WorkerSession}. */
   readonly mayAct: () => boolean;
+  readonly uncertainForMs: () => number;
   /** Runs that are recorded for a worker. */
   readonly recordedRuns: (workerId: string) => readonly TaskRun[];
   /** Called when a worker has crashed, before its runs are reported as lost. */
@@ -207,7 +208,8 @@
    * says has certainly ended.
    */
   private open(entry: WorkerEntry, replaced: WorkerSession | null = null, isLater = false): void {
-    const { clock, gateway, listener, fencingToken, maxLeaseMs, mayAct, leaseEnds } = this.options;
+    const { clock, gateway, listener, fencingToken, maxLeaseMs, leaseEnds } = this.options;
+    const { mayAct, uncertainForMs } = this.options;
     const { workerId, startedAtMs } = entry;
     const recorded = this.options.recordedRuns(workerId);
     const { inherited, ended, notSent } = runsAtRestart(recorded, replaced, isLater);
@@ -218,6 +220,7 @@
       fencingToken,
       maxLeaseMs,
       mayAct,
+      uncertainForMs,
       entry,
       inherited,
       knownLeaseEndMs: leaseEnds.endOf(workerId, startedAtMs),
--- a/placement/worker_lease.ts
+++ b/placement/worker_lease.ts
@@ -41,7 +41,7 @@
   private knownEndMs: number | null;
 
   constructor(private readonly options: WorkerLeaseOptions) {
-    // An earlier leader may have renewed the lease until now.
+    // An earlier leader may have renewed the lease until now, and requests none that lasts longer after that.
     this.lastRequestAtMs = options.nowMs;
     this.knownEndMs = options.knownEndMs ?? null;
   }
@@ -72,15 +72,21 @@
     return workerMs < this.clock.workerMs + minElapsedMs - CLOCK_ROUNDING_MS;
   }
 
-  /** The end of the lease to request now, on the worker's clock; 0 before the worker's clock is known. */
-  requestUntilMs(nowMs: number): number {
+  /**
+   * The end of the lease to request now, on the worker's clock; 0 before the worker's clock
+   * is known. `sinceSoleLeaderMs` is the time since this process was last certain that no
+   * successor leads: a successor counts the longest lease from its own start, and no later
+   * request may outlast that.
+   */
+  requestUntilMs(nowMs: number, sinceSoleLeaderMs = 0): number {
     const workerMs = this.workerClockMs(nowMs);
     if (workerMs === null) return 0;
     this.lastRequestAtMs = nowMs;
     this.knownEndMs = null;
     // A slow clock of the worker shows less, and a request above its longest lease would outlast the expected end.
     const driftMs = (nowMs - (this.clock?.atMs ?? nowMs)) * MAX_CLOCK_DRIFT;
-    return workerMs - driftMs + this.options.maxLeaseMs - REQUEST_MARGIN_MS;
+    const untilMs = workerMs - driftMs - sinceSoleLeaderMs + this.options.maxLeaseMs - REQUEST_MARGIN_MS;
+    return Math.max(0, untilMs);
   }
 
   /**
--- a/placement/worker_session.ts
+++ b/placement/worker_session.ts
@@ -66,6 +66,8 @@
   readonly maxLeaseMs: number;
   /** Whether the leader may act; otherwise leases are renewed and nothing else is done. */
   readonly mayAct: () => boolean;
+  /** {@link SoleLeadership.uncertainForMs}, which bounds the leases that are requested. */
+  readonly uncertainForMs: () => number;
   /** Runs that earlier sessions have started and that this incarnation may have. */
   readonly inherited: readonly InheritedRun[];
   /** When the lease that an earlier leader stopped renewing has ended; `null` if that is not known. */
@@ -329,7 +331,7 @@
       const response = await gateway.start(this.worker, {
         ...request,
         fencingToken,
-        leaseUntilMs: this.lease.requestUntilMs(sentAtMs),
+        leaseUntilMs: this.leaseUntilMs(sentAtMs),
       });
       this.observeClock(response, sentAtMs);
       if (response.rejection === 'fenced') listener.onFenced();
@@ -443,7 +445,7 @@
         fencingToken,
         acknowledgedEndNumber,
         // After a failed call the lease is not renewed, so that it is known when it expires at the latest.
-        leaseUntilMs: this.mayRenew() ? this.lease.requestUntilMs(sentAtMs) : null,
+        leaseUntilMs: this.mayRenew() ? this.leaseUntilMs(sentAtMs) : null,
         waitMs: this.waitMs(),
       });
       if (this.hasClosed()) return true;
@@ -473,6 +475,11 @@
     return this.failureCount === 0 && !this.hasRestarted && connection === this.reportedConnection;
   }
 
+  /** The end of the lease to request in a call that is sent now. */
+  private leaseUntilMs(sentAtMs: number): number {
+    return this.lease.requestUntilMs(sentAtMs, this.options.uncertainForMs());
+  }
+
   private mayRenew(): boolean {
     return this.failureCount === 0 && this.options.mayRequestLease();
   }
--- a/placement/worker_session_test.ts
+++ b/placement/worker_session_test.ts
@@ -64,6 +64,7 @@
     fencingToken: 1,
     maxLeaseMs: FAKE_LEASE_MS,
     mayAct: () => true,
+    uncertainForMs: () => 0,
     inherited: [],
     knownLeaseEndMs: null,
     mayRequestLease: () => true,
--- a/relay/forwarding_job_operations_test.ts
+++ b/relay/forwarding_job_operations_test.ts
@@ -43,6 +43,7 @@
       jobs: new StoreJobOperations({ store: remoteStore, clock }),
       isStoreReachable: () => isRemoteReachable,
       clients: testClientGuard(),
+      knowsLaterLeader: () => false,
       onTakeoverRequest: () => undefined,
     });
     const port = await new Promise<number>((resolve) => {
--- a/relay/relay_calls.ts
+++ b/relay/relay_calls.ts
@@ -7,6 +7,12 @@
 export const PENDING_JOBS_METHOD = 'jobs.pending';
 /** Asks whether the process could become the placement leader. */
 export const MAY_TAKE_OVER = 'placement.may_take_over';
+/**
+ * Asks whether the process rules out that there has been a later placement leader than the
+ * one that asks: it has been running since that one renewed its lease, knows of no later one,
+ * and does not reach the store, so that others probably do not either.
+ */
+export const RULE_OUT_LATER_LEADER = 'placement.rule_out_later_leader';
 /** Requests that the process become the placement leader. */
 export const TAKE_OVER = 'placement.take_over';
 
@@ -29,6 +35,8 @@
 export const jobIdSchema = z.object({ jobId: z.string() });
 export const queueIdSchema = z.object({ queueId: z.string() });
 export const epochSchema = z.object({ epoch: z.int().min(1) });
+/** `sinceMs`: time since the leader of `epoch` last renewed its lease, in milliseconds. */
+export const laterLeaderSchema = z.object({ epoch: z.int().min(1), sinceMs: z.number().min(0) });
 /**
  * Parameters of a submission. The job is encoded as its row; the process that
  * received it from the caller has validated it. `patienceMs` is the time for which
--- a/relay/relay_client.ts
+++ b/relay/relay_client.ts
@@ -68,6 +68,15 @@
     return null;
   }
 
+  /** Calls all processes at once; resolves with whether there are any and each one responded with `true`. */
+  async isAcceptedByAll(method: string, params: object, timeoutMs: number): Promise<boolean> {
+    const addresses = this.addresses();
+    const accepting = await Promise.all(
+      addresses.map((address) => this.findAcceptingPeer(method, params, timeoutMs, [address])),
+    );
+    return addresses.length > 0 && accepting.every((address) => address !== null);
+  }
+
   /** Calls one process. Returns `null` if the call was not sent. Throws {@link RelayOutcomeUnknownError}. */
   async callPeer(
     address: string,
--- a/relay/relay_plugin.ts
+++ b/relay/relay_plugin.ts
@@ -31,6 +31,8 @@
   private registry: ProcessRegistry | null = null;
   private client: RelayClient | null = null;
   private onTakeoverRequest: (epoch: number) => void = () => undefined;
+  /** Until the placement part is set up, no later leader can be ruled out. */
+  private knowsLaterLeader: (epoch: number) => boolean = () => true;
 
   override setUp(kernel: Kernel): void {
     this.kernel = kernel;
@@ -53,6 +55,9 @@
       onTakeoverRequest: (listener) => {
         this.onTakeoverRequest = listener;
       },
+      setLaterLeaderCheck: (knowsLaterLeader) => {
+        this.knowsLaterLeader = knowsLaterLeader;
+      },
       largerPeerAddresses: () => registry.largerPeerAddresses(),
       processCount: () => registry.peerAddresses().length + 1,
     });
@@ -78,6 +83,7 @@
       clients: guard,
       jobs: new StoreJobOperations({ store: this.kernel.use(ROW_STORE), clock }),
       isStoreReachable: this.kernel.use(OPERATOR_STATE).isStoreReachable,
+      knowsLaterLeader: (epoch) => this.knowsLaterLeader(epoch),
       onTakeoverRequest: (epoch) => {
         this.onTakeoverRequest(epoch);
       },
--- a/relay/relay_server.ts
+++ b/relay/relay_server.ts
@@ -15,6 +15,8 @@
   MAY_TAKE_OVER,
   PENDING_JOBS_METHOD,
   queueIdSchema,
+  laterLeaderSchema,
+  RULE_OUT_LATER_LEADER,
   JOB_STATE_METHOD,
   JOB_SUBMIT_METHOD,
   submitSchema,
@@ -30,6 +32,8 @@
   /** Uses only the store, so that calls are not forwarded in a loop. */
   readonly jobs: JobOperations;
   readonly isStoreReachable: () => boolean;
+  /** Whether this process knows of a placement leader later than that of `epoch`, itself included. */
+  readonly knowsLaterLeader: (epoch: number) => boolean;
   readonly clients: ClientGuard;
   /** Called when the placement leader of this epoch has stopped and requests that this process succeed it. */
   readonly onTakeoverRequest: (epoch: number) => void;
@@ -54,6 +58,14 @@
     await jobs.pending('');
     return true;
   });
+  const startedAtMs = clock.monotonicMs();
+  // Answered without the store, since it is asked in an outage.
+  server.addMethod(RULE_OUT_LATER_LEADER, (params: unknown): RelayOutcome => {
+    const { epoch, sinceMs } = laterLeaderSchema.parse(params);
+    const hasSeenWholeTime = clock.monotonicMs() - startedAtMs >= sinceMs;
+    const isRuledOut = hasSeenWholeTime && !isStoreReachable() && !options.knowsLaterLeader(epoch);
+    return { kind: 'done', value: isRuledOut };
+  });
   serve(TAKE_OVER, (params) => {
     options.onTakeoverRequest(epochSchema.parse(params).epoch);
     return Promise.resolve(true);
--- a/telemetry/events_catalogue.ts
+++ b/telemetry/events_catalogue.ts
@@ -57,6 +57,7 @@
   leaseUnusable: logEvent(729, 'lease row unusable'),
   waveRowUnusable: logEvent(733, 'wave row unusable'),
   waveReopened: logEvent(739, 'maintenance wave reopened'),
+  successorRuledOut: logEvent(754, 'later leader ruled out'),
   leaderMadeWay: logEvent(734, 'leader makes way for a larger machine'),
   runsLost: logEvent(735, 'runs lost with their worker'),
   runsAwaitExpiry: logEvent(736, 'runs await the end of their lease'),
