Let an accepted job go on after its queue was renamed or removed

Cause: a stored job knew only the name of its queue, and each decision looked the rule up by that name. Without it the planner left the job out, long-running tasks were not started again, failures had no limit, and the job's demand and its place among the pending jobs were lost.

Change: a job is stored with the rule under which it was accepted, and one function says by which rule it runs (scheduling/job_queue.ts): that of its name, else the queue that now serves its callers if it has the same pool, else the rule of its acceptance, and the serving queue's pool only if its own has been removed.

The rule is in the row of the job, so that a leader that has never seen the queue knows it as well.

--- a/callers/job_api.ts
+++ b/callers/job_api.ts
@@ -139,7 +139,7 @@
       maxBytes: rules.maxBodyBytes,
     });
     const definition = codec.decodeJob(textDecoder.decode(body));
-    const job = { jobId: pathSuffix, queueId: queue.queueId, teamId, definition };
+    const job = { jobId: pathSuffix, queueId: queue.queueId, teamId, acceptedUnder: queue, definition };
     const unstorable = unstorableReason({ ...job, acceptedAtMs: clock.wallMs() });
     if (unstorable !== null) return this.reject(context, 400, 'job_too_large', unstorable);
     const screening = await this.shortage.screen({ jobId: pathSuffix, teamId, queue, definition });
--- a/callers/job_operations.ts
+++ b/callers/job_operations.ts
@@ -1,4 +1,5 @@
 /** Operations on jobs that callers may request. */
+import type { QueueRule } from '../scheduling/fleet_rules';
 import type { JobDefinition } from '../scheduling/job_definition';
 import type { JobState } from '../scheduling/job_progress';
 
@@ -6,6 +7,8 @@
   readonly jobId: string;
   readonly queueId: string;
   readonly teamId: string | null;
+  /** The rule of the queue by which the job is accepted; absent if an earlier version forwarded it. */
+  readonly acceptedUnder?: QueueRule | undefined;
   readonly definition: JobDefinition;
   /** When the caller stops waiting, in monotonic milliseconds. */
   readonly deadlineAtMs: number;
--- a/placement/_placement_harness.ts
+++ b/placement/_placement_harness.ts
@@ -222,6 +222,7 @@
       jobId,
       queueId: 'q',
       teamId: 't',
+      acceptedUnder: QUEUE,
       definition,
       deadlineAtMs: Infinity,
     });
@@ -231,6 +232,11 @@
     await this.jobOperations.cancel(jobId);
   }
 
+  /** Number of pending jobs that callers of a queue are told. */
+  async pending(queueId: string): Promise<number> {
+    return this.jobOperations.pending(queueId);
+  }
+
   /** Reads the state through new job operations, which have nothing cached. */
   async state(jobId: string): Promise<string | null> {
     return new StoreJobOperations({ store: this.operatorStore, clock: this.clock }).state(jobId);
--- a/placement/arrival_log.ts
+++ b/placement/arrival_log.ts
@@ -3,6 +3,7 @@
 import { addResources, combineResources, NO_RESOURCES, type Resources } from '../model/resources';
 import type { FleetRules } from '../scheduling/fleet_rules';
 import { isLongRunning, type JobDefinition } from '../scheduling/job_definition';
+import { queueOf } from '../scheduling/job_queue';
 import type { OpenJob } from './job_registry';
 import { BASE_VALUE } from './plan_request';
 import { totalWork, type RunTimeEstimator } from './run_time_estimator';
@@ -59,7 +60,7 @@
   arrivedWork(poolId: string, context: ArrivalContext): readonly ArrivedWork[] {
     return (this.arrivals.get(poolId) ?? []).flatMap(({ atMs, job }) => {
       const { definition, queueId, teamId } = job.record.job;
-      const queue = context.rules.queues.get(queueId);
+      const queue = queueOf(context.rules, job.record.job);
       if (queue === undefined) return [];
       const work = totalWork(definition, () => true);
       const starts = definition.steps.reduce((sum, { taskCount }) => sum + taskCount, 0);
--- a/placement/job_intake.ts
+++ b/placement/job_intake.ts
@@ -1,6 +1,7 @@
 /** Reads the rows of jobs into the leader's state: those of earlier leaders first, then new ones. */
 import type { Clock } from '../kernel/clock';
 import type { FleetRules } from '../scheduling/fleet_rules';
+import { queueOf } from '../scheduling/job_queue';
 import { isEnded, type JobProgress } from '../scheduling/job_progress';
 import { cancelledJobId, decodeProgress, RowFormatError } from '../scheduling/job_rows';
 import { decodeStoredJob } from '../scheduling/stored_job';
@@ -86,7 +87,7 @@
     const job = state.jobs.add(accepted, progress, clock.monotonicMs() - ageMs);
     if (job === null) return;
     state.addInheritedRuns(job);
-    const poolId = rules()?.queues.get(accepted.queueId)?.poolId;
+    const poolId = queueOf(rules(), accepted)?.poolId;
     if (poolId !== undefined && this.isLoaded) this.options.onArrival(job, poolId);
     if (progress !== undefined) return;
     const { jobId, queueId, teamId } = accepted;
--- a/placement/job_registry.ts
+++ b/placement/job_registry.ts
@@ -1,6 +1,8 @@
 /** The open jobs and the recently ended ones, as the placement leader knows them. */
 import type { Clock } from '../kernel/clock';
 import type { AcceptedJob } from '../scheduling/job_definition';
+import type { FleetRules } from '../scheduling/fleet_rules';
+import { callerQueueId, queueOf } from '../scheduling/job_queue';
 import { JobRecord } from '../scheduling/job_record';
 import { isEnded, type JobProgress } from '../scheduling/job_progress';
 
@@ -18,7 +20,7 @@
 
 export interface JobRegistryOptions {
   readonly clock: Clock;
-  readonly maxAttempts: (queueId: string) => number;
+  readonly rules: () => FleetRules | null;
 }
 
 /** Contains the open jobs by id, and the ids of ended jobs whose rows are not all removed yet. */
@@ -40,7 +42,7 @@
     if (this.has(job.jobId)) return null;
     const record = new JobRecord({
       job,
-      maxAttempts: () => this.options.maxAttempts(job.queueId),
+      maxAttempts: () => queueOf(this.options.rules(), job)?.maxAttempts ?? Infinity,
       ...(progress === undefined ? {} : { progress }),
     });
     if (record.isSettled()) {
@@ -116,11 +118,12 @@
     return this.open.values();
   }
 
-  /** Number of open jobs of which no task has started, by queue. */
+  /** Number of open jobs of which no task has started, by the queue at which callers ask for them. */
   pendingByQueue(): ReadonlyMap<string, number> {
+    const rules = this.options.rules();
     const counts = new Map<string, number>();
     for (const { record } of this.open.values()) {
-      const { queueId } = record.job;
+      const queueId = callerQueueId(rules, record.job);
       const isPending = record.state === 'queued' && !isEnded(record.state);
       counts.set(queueId, (counts.get(queueId) ?? 0) + (isPending ? 1 : 0));
     }
--- a/placement/overdue_work.ts
+++ b/placement/overdue_work.ts
@@ -2,6 +2,7 @@
 import { addResources, NO_RESOURCES, type Resources } from '../model/resources';
 import type { FleetRules } from '../scheduling/fleet_rules';
 import { isLongRunning } from '../scheduling/job_definition';
+import { queueOf } from '../scheduling/job_queue';
 import { USEFUL_TIME_FACTOR } from '../scheduling/queue_order';
 import type { PlacementState } from './placement_state';
 import { targetMs } from './plan_request';
@@ -33,8 +34,8 @@
   const byPool = new Map<string, OverdueWork>();
   for (const { record, acceptedAtMs } of state.jobs.openJobs()) {
     if (!record.hasRuns()) continue;
-    const { jobId, queueId, definition } = record.job;
-    const queue = rules.queues.get(queueId);
+    const { jobId, definition } = record.job;
+    const queue = queueOf(rules, record.job);
     if (queue === undefined || definition.repeat !== null || isLongRunning(definition)) continue;
     const lateness = (nowMs - acceptedAtMs) / targetMs(definition, queue, state.estimator);
     if (lateness <= 1) continue;
--- a/placement/placement_leader.ts
+++ b/placement/placement_leader.ts
@@ -342,8 +342,7 @@
   }
 
   private schedulePlanOfJob(jobId: string): void {
-    const queueId = this.parts.state.jobs.get(jobId)?.record.job.queueId;
-    const poolId = queueId === undefined ? undefined : this.options.rules()?.queues.get(queueId)?.poolId;
+    const poolId = this.parts.state.poolOf(jobId);
     if (poolId !== undefined) this.schedulePlanOf(poolId);
   }
 
--- a/placement/placement_state.ts
+++ b/placement/placement_state.ts
@@ -1,6 +1,7 @@
 /** State that the components of the placement leader share. */
 import type { Clock } from '../kernel/clock';
 import type { FleetRules } from '../scheduling/fleet_rules';
+import { queueOf } from '../scheduling/job_queue';
 import type { JobRecord, RunResult, TaskRun } from '../scheduling/job_record';
 import { encodeProgress, progressAddress } from '../scheduling/job_rows';
 import { isEnded } from '../scheduling/job_progress';
@@ -43,8 +44,7 @@
 
   constructor(private readonly options: PlacementStateOptions) {
     const { clock, rules } = options;
-    const maxAttempts = (queueId: string): number => rules()?.queues.get(queueId)?.maxAttempts ?? Infinity;
-    this.jobs = new JobRegistry({ clock, maxAttempts });
+    this.jobs = new JobRegistry({ clock, rules });
   }
 
   /** Adds the runs that are recorded in a job's progress. */
@@ -124,10 +124,10 @@
     return this.runsOfSuspects.values();
   }
 
-  /** The pool in which the tasks of a job run; `undefined` if the operator has removed its queue. */
+  /** The pool in which the tasks of a job run; `undefined` if it is not open or {@link queueOf} finds none. */
   poolOf(jobId: string): string | undefined {
-    const queueId = this.jobs.get(jobId)?.record.job.queueId;
-    return queueId === undefined ? undefined : this.options.rules()?.queues.get(queueId)?.poolId;
+    const job = this.jobs.get(jobId)?.record.job;
+    return job === undefined ? undefined : queueOf(this.options.rules(), job)?.poolId;
   }
 
   /** Number of long-running tasks among the runs on a worker. */
--- a/placement/plan_request.ts
+++ b/placement/plan_request.ts
@@ -2,6 +2,7 @@
 import { subtractResources, type Resources } from '../model/resources';
 import type { FleetRules, QueueRule } from '../scheduling/fleet_rules';
 import type { JobDefinition } from '../scheduling/job_definition';
+import { queueOf } from '../scheduling/job_queue';
 import type { JobRecord, ReadyStep } from '../scheduling/job_record';
 import type { PlanRequest, PlanStep, PlanWorker } from '../scheduling/placement_planner';
 import { USEFUL_TIME_FACTOR, type QueueOrder, type WaitingStep } from '../scheduling/queue_order';
@@ -57,8 +58,7 @@
 function findReadySteps({ state, rules, unixMs, poolIds }: CandidateOptions): readonly FoundStep[] {
   const found: FoundStep[] = [];
   for (const job of state.jobs.openJobs()) {
-    const queue = rules.queues.get(job.record.job.queueId);
-    // Jobs of a queue that the operator has removed start no more tasks.
+    const queue = queueOf(rules, job.record.job);
     if (queue === undefined || poolIds?.has(queue.poolId) === false) continue;
     const readySteps = job.record.readySteps(unixMs);
     for (const step of readySteps) found.push({ job, queue, step, readySteps });
--- a/placement/pool_demand.ts
+++ b/placement/pool_demand.ts
@@ -11,6 +11,7 @@
 import type { DemandLevels } from '../scheduling/demand_levels';
 import type { FleetRules } from '../scheduling/fleet_rules';
 import { isLongRunning, occupiedBy } from '../scheduling/job_definition';
+import { queueOf } from '../scheduling/job_queue';
 import { isEnded } from '../scheduling/job_progress';
 import type { PlacementState } from './placement_state';
 import type { DemandForecast } from '../scheduling/burst_forecast';
@@ -258,8 +259,8 @@
   private longRunningByPool(rules: FleetRules): ReadonlyMap<string, LongRunningWork> {
     const longRunning = new Map<string, LongRunningWork>();
     for (const { record } of this.options.state.jobs.openJobs()) {
-      const { definition, queueId, jobId } = record.job;
-      const poolId = rules.queues.get(queueId)?.poolId;
+      const { definition, jobId } = record.job;
+      const poolId = queueOf(rules, record.job)?.poolId;
       if (poolId === undefined || isEnded(record.state) || !isLongRunning(definition)) continue;
       const { jobIds, minWorkers } = longRunning.get(poolId) ?? NO_LONG_RUNNING_WORK;
       const needed = definition.steps.map(({ taskCount, maxPerWorker }) =>
--- a/placement/run_result_handler.ts
+++ b/placement/run_result_handler.ts
@@ -5,6 +5,7 @@
 import type { Clock } from '../kernel/clock';
 import type { FleetRules } from '../scheduling/fleet_rules';
 import { isEnded } from '../scheduling/job_progress';
+import { queueOf } from '../scheduling/job_queue';
 import type { RunResult } from '../scheduling/job_record';
 import type { Counters } from '../telemetry/counters';
 import { LOG_EVENTS } from '../telemetry/events_catalogue';
@@ -102,7 +103,7 @@
     const tookMs = Math.round(clock.monotonicMs() - acceptedAtMs);
     counters.increment('placement.job_ended', record.state);
     logger.info(LOG_EVENTS.jobEnded, { jobId, queueId, state: record.state, tookMs });
-    const queue = rules()?.queues.get(queueId);
+    const queue = queueOf(rules(), record.job);
     if (queue === undefined || definition.repeat !== null || record.state !== 'completed') return;
     loadReport.recordJobEnd(queueId, tookMs <= targetMs(definition, queue, state.estimator));
   }
--- a/placement/task_placer.ts
+++ b/placement/task_placer.ts
@@ -2,6 +2,7 @@
 import type { Clock } from '../kernel/clock';
 import { addResources, fitsInto, NO_RESOURCES, subtractResources, type Resources } from '../model/resources';
 import type { FleetRules } from '../scheduling/fleet_rules';
+import { queueOf } from '../scheduling/job_queue';
 import { occupiedBy } from '../scheduling/job_definition';
 import type { RunResult, TaskRun } from '../scheduling/job_record';
 import {
@@ -308,7 +309,7 @@
   private startSpeculativeCopy(run: RecordedRun, rules: FleetRules): void {
     const { record, task } = run;
     const job = this.options.state.jobs.get(task.jobId);
-    const queue = rules.queues.get(record.job.queueId);
+    const queue = queueOf(rules, record.job);
     if (job === undefined || queue?.advice !== null) return;
     const step = record.step(task.step);
     const demand = occupiedBy(step);
@@ -433,7 +434,7 @@
   }
 
   private priorityOf({ record }: RecordedRun): number {
-    return this.options.rules()?.queues.get(record.job.queueId)?.priority ?? 0;
+    return queueOf(this.options.rules(), record.job)?.priority ?? 0;
   }
 }
 
--- a/placement/zone_evacuation.ts
+++ b/placement/zone_evacuation.ts
@@ -3,6 +3,7 @@
 import type { ClosedZones } from '../scheduling/closed_zones';
 import type { FleetRules } from '../scheduling/fleet_rules';
 import { occupiedBy, type TaskId } from '../scheduling/job_definition';
+import { queueOf } from '../scheduling/job_queue';
 import type { JobRecord } from '../scheduling/job_record';
 import { TaskRoom, type PreemptibleRun, type RoomClaim } from '../scheduling/task_room';
 import type { Counters } from '../telemetry/counters';
@@ -51,7 +52,7 @@
         fleet,
         nowMs,
         claimRoom: (run) => {
-          const queue = rules.queues.get(run.record.job.queueId);
+          const queue = queueOf(rules, run.record.job);
           if (
             queue === undefined ||
             !roomOf(queue.poolId).claim(claimOf(run.record, run.task, queue.priority))
@@ -105,7 +106,7 @@
     }
     for (const session of sessions) {
       for (const run of state.runsOn(session.worker.workerId)) {
-        const queue = rules.queues.get(run.record.job.queueId);
+        const queue = queueOf(rules, run.record.job);
         const isStopping = session.findRun(run.task, run.run)?.phase === 'stopping';
         if (queue?.poolId === poolId && isStopping && run.record.step(run.task.step).isLongRunning)
           room.claim(claimOf(run.record, run.task, queue.priority));
@@ -133,5 +134,5 @@
 function preemptibleRun({ record, task }: RecordedRun, rules: FleetRules): readonly PreemptibleRun[] {
   const step = record.step(task.step);
   if (step.isLongRunning || step.isGang) return [];
-  return [{ priority: rules.queues.get(record.job.queueId)?.priority ?? 0, occupied: occupiedBy(step) }];
+  return [{ priority: queueOf(rules, record.job)?.priority ?? 0, occupied: occupiedBy(step) }];
 }
--- a/scheduling/job_definition.ts
+++ b/scheduling/job_definition.ts
@@ -1,5 +1,6 @@
 /** Jobs as callers define them: steps that consist of tasks, with the requirements of each step. */
 import type { Resources } from '../model/resources';
+import type { QueueRule } from './fleet_rules';
 
 /** A step: tasks of one kind that may run at the same time. */
 export interface StepDefinition {
@@ -72,6 +73,11 @@
    * accepting machine's wall clock, which may be wrong.
    */
   readonly acceptedAtMs: number;
+  /**
+   * The rule of the queue when the job was accepted, which still says where it may run after
+   * the operator has removed the queue; absent from jobs that earlier versions stored.
+   */
+  readonly acceptedUnder?: QueueRule | undefined;
   readonly definition: JobDefinition;
 }
 
--- a/scheduling/job_rows.ts
+++ b/scheduling/job_rows.ts
@@ -2,6 +2,7 @@
 import { z } from 'zod';
 import type { RowAddress } from '../store/row_store';
 import { NO_CRASHES } from './crash_evidence';
+import type { QueueRule } from './fleet_rules';
 import type { AcceptedJob } from './job_definition';
 import { decodeIndexes, encodeIndexes, INDEXES_PATTERN } from './index_set';
 import { DONE_TASK_PROGRESS, type JobProgress, type TaskProgress } from './job_progress';
@@ -90,12 +91,24 @@
   maxUnavailable: z.int().nullable(),
 });
 
+const acceptedUnderSchema = z.object({
+  host: z.string(),
+  pathPrefix: z.string(),
+  poolId: z.string(),
+  priority: z.number(),
+  maxAttempts: z.int(),
+  stretch: z.number(),
+  targetLatencyMs: z.number(),
+  advice: z.object({ decideMs: z.number(), perWorkerMs: z.number(), validMs: z.number() }).optional(),
+});
+
 const jobRowSchema = z.object({
   encoding: z.literal(ENCODING_VERSION),
   jobId: z.string(),
   queueId: z.string(),
   teamId: z.string().nullable(),
   acceptedAtMs: z.number(),
+  acceptedUnder: acceptedUnderSchema.optional().catch(undefined),
   definition: z.object({
     spec: z.string(),
     steps: z.array(stepSchema).readonly(),
@@ -103,14 +116,26 @@
   }),
 });
 
-export function encodeJob(job: AcceptedJob): string {
-  return JSON.stringify({ encoding: ENCODING_VERSION, ...job });
+export function encodeJob({ acceptedUnder, ...job }: AcceptedJob): string {
+  const fields = acceptedUnder === undefined ? {} : { acceptedUnder: encodeRule(acceptedUnder) };
+  return JSON.stringify({ encoding: ENCODING_VERSION, ...job, ...fields });
+}
+
+/** Leaves out what the row contains already and what does not matter once a job is accepted. */
+function encodeRule(rule: QueueRule): z.infer<typeof acceptedUnderSchema> {
+  const { host, pathPrefix, poolId, priority, maxAttempts, stretch, targetLatencyMs, advice } = rule;
+  const fields = { host, pathPrefix, poolId, priority, maxAttempts, stretch, targetLatencyMs };
+  return advice === null ? fields : { ...fields, advice };
 }
 
 /** Throws {@link RowFormatError}. */
 export function decodeJob(value: string): AcceptedJob {
-  const { jobId, queueId, teamId, acceptedAtMs, definition } = decodeJsonRow(jobRowSchema, value);
-  return { jobId, queueId, teamId, acceptedAtMs, definition };
+  const row = decodeJsonRow(jobRowSchema, value);
+  const { jobId, queueId, teamId, acceptedAtMs, acceptedUnder, definition } = row;
+  const job = { jobId, queueId, teamId, acceptedAtMs, definition };
+  if (acceptedUnder === undefined) return job;
+  const { advice = null, ...rule } = acceptedUnder;
+  return { ...job, acceptedUnder: { ...rule, queueId, openToAll: false, advice } };
 }
 
 const runSchema = z.tuple([z.int(), z.string(), z.number()]);
