Keep the cancelling of a job that is stored only later

Cause: the request to cancel was stored only if the job's row existed, and the leader applied it only to a job that it already knew.

Change: the request is stored in any case before it is acknowledged, and a job whose cancellation is stored starts nothing, whichever row was stored first (placement/job_intake.ts, event 753).

The leader is the only process that starts tasks and reads both rows, so that their order does not matter.

--- a/callers/job_operations.ts
+++ b/callers/job_operations.ts
@@ -24,7 +24,10 @@
   abstract submit(submission: Submission): Promise<boolean>;
   /** Returns the state of a job, or `null` if there is no such job. */
   abstract state(jobId: string): Promise<JobState | null>;
-  /** Requests that the placement leader cancel a job. Resolves with `false` if there is no such job. */
+  /**
+   * Requests that the placement leader cancel a job. Resolves with `false` if there is no such
+   * job yet; its submission, should it arrive later, is cancelled as well.
+   */
   abstract cancel(jobId: string): Promise<boolean>;
   /**
    * Returns the number of accepted jobs of a queue of which no task has started; the
--- a/callers/store_job_operations.ts
+++ b/callers/store_job_operations.ts
@@ -62,9 +62,10 @@
 
   override async cancel(jobId: string): Promise<boolean> {
     const { store } = this.options;
-    if ((await store.readOne(jobAddress(jobId))) === null) return false;
+    const isKnown = (await store.readOne(jobAddress(jobId))) !== null;
+    // Also without the job: its submission may be on the way, for example in a process that is suspended.
     await store.transact({ conditions: [], writes: [{ ...cancelAddress(jobId), value: '{}' }] });
-    return true;
+    return isKnown;
   }
 
   override async pending(queueId: string): Promise<number> {
--- a/placement/_placement_harness.ts
+++ b/placement/_placement_harness.ts
@@ -232,6 +232,11 @@
     await this.jobOperations.cancel(jobId);
   }
 
+  /** Cancels a job like {@link cancel}, and returns whether callers are told that it is known. */
+  async cancelIfKnown(jobId: string): Promise<boolean> {
+    return this.jobOperations.cancel(jobId);
+  }
+
   /** Number of pending jobs that callers of a queue are told. */
   async pending(queueId: string): Promise<number> {
     return this.jobOperations.pending(queueId);
--- a/placement/ended_job_sweep.ts
+++ b/placement/ended_job_sweep.ts
@@ -62,6 +62,7 @@
     try {
       await this.removeJobRows(nowMs - JOB_ROW_RETENTION_MS);
       await this.removeProgress(nowMs);
+      await this.removeEarlyCancellations(nowMs);
     } catch (error) {
       if (!isStoreFailure(error)) throw error;
       // Removing a row is idempotent, so the next sweep tries all of them again.
@@ -91,6 +92,14 @@
     }
   }
 
+  /** A cancellation without a job is kept as long as the state of an ended job, since both stand for it. */
+  private async removeEarlyCancellations(nowMs: number): Promise<void> {
+    const { jobs, retentionMs } = this.options;
+    const jobIds = jobs.cancelledEarlyBefore(nowMs - retentionMs * RETENTION_FACTOR, MAX_JOBS_PER_SWEEP);
+    await this.removeRows(jobIds.map(cancelAddress));
+    for (const jobId of jobIds) jobs.forgetEarlyCancellation(jobId);
+  }
+
   private async removeRows(addresses: readonly Omit<RowWrite, 'value'>[]): Promise<void> {
     const byPartition = new Map<string, RowWrite[]>();
     for (const address of addresses) {
--- a/placement/job_intake.ts
+++ b/placement/job_intake.ts
@@ -72,10 +72,21 @@
       if (jobId !== null) cancelled.push(jobId);
       else this.handleJob(key, value);
     }
-    for (const jobId of cancelled) {
-      const job = this.options.state.cancel(jobId);
-      if (job !== null) this.options.onCancelled(job);
+    for (const jobId of cancelled) this.handleCancellation(jobId);
+  }
+
+  /** A job whose cancellation is stored starts no more tasks, whichever of the two rows was stored first. */
+  private handleCancellation(jobId: string): void {
+    const { state } = this.options;
+    // The version that can read the job needs its cancellation, which has to stay stored.
+    if (this.unusableJobIds.has(jobId)) return;
+    if (state.jobs.get(jobId) === undefined) {
+      state.jobs.recordEarlyCancellation(jobId);
+      return;
     }
+    state.jobs.forgetEarlyCancellation(jobId);
+    const job = state.cancel(jobId);
+    if (job !== null) this.options.onCancelled(job);
   }
 
   private handleJob(key: string, value: string): void {
@@ -87,6 +98,11 @@
     const job = state.jobs.add(accepted, progress, clock.monotonicMs() - ageMs);
     if (job === null) return;
     state.addInheritedRuns(job);
+    if (state.jobs.isCancelledEarly(key)) {
+      logger.info(LOG_EVENTS.jobCancelledEarly, { jobId: key });
+      this.handleCancellation(key);
+      return;
+    }
     const poolId = queueOf(rules(), accepted)?.poolId;
     if (poolId !== undefined && this.isLoaded) this.options.onArrival(job, poolId);
     if (progress !== undefined) return;
@@ -102,6 +118,7 @@
       if (!(error instanceof RowFormatError)) throw error;
       // Without its progress the job might run again; the next version of this system can read it.
       this.unusableJobIds.add(jobId);
+      this.options.state.jobs.forgetEarlyCancellation(jobId);
       this.options.counters.increment('placement.job_row_unusable');
       this.options.logger.warn(LOG_EVENTS.jobRowUnusable, { jobId, reason: error.message });
       return null;
--- a/placement/job_registry.ts
+++ b/placement/job_registry.ts
@@ -33,6 +33,8 @@
    * still stored and may be removed, oldest first.
    */
   private readonly withRemovableRows = new Set<string>();
+  /** When each cancellation was found whose job is not registered, on the monotonic clock, oldest first. */
+  private readonly cancelledEarly = new Map<string, number>();
   private lastArrivalNumber = 0;
 
   constructor(private readonly options: JobRegistryOptions) {}
@@ -60,6 +62,29 @@
     return this.open.get(jobId);
   }
 
+  /** Records a cancellation that is stored although its job is not open. */
+  recordEarlyCancellation(jobId: string): void {
+    // The rows of an ended job may have been removed before the cancellation was stored.
+    if (this.has(jobId)) this.allowRowRemoval(jobId);
+    else if (!this.cancelledEarly.has(jobId))
+      this.cancelledEarly.set(jobId, this.options.clock.monotonicMs());
+  }
+
+  /** Whether a job was cancelled before it arrived. */
+  isCancelledEarly(jobId: string): boolean {
+    return this.cancelledEarly.has(jobId);
+  }
+
+  /** Ids of jobs that were cancelled before a time on the monotonic clock and have not arrived, oldest first. */
+  cancelledEarlyBefore(cancelledBeforeMs: number, limit: number): readonly string[] {
+    return idsBefore(this.cancelledEarly, cancelledBeforeMs, limit);
+  }
+
+  /** Forgets a cancellation whose job has arrived, or whose rows have been removed. */
+  forgetEarlyCancellation(jobId: string): void {
+    this.cancelledEarly.delete(jobId);
+  }
+
   /** Records that a job has ended. */
   recordEnded(jobId: string): void {
     this.ended.set(jobId, this.options.clock.monotonicMs());
@@ -100,12 +125,7 @@
 
   /** Ids of jobs that ended before a time on the monotonic clock, oldest first. */
   endedBefore(endedBeforeMs: number, limit: number): readonly string[] {
-    const found: string[] = [];
-    for (const [jobId, endedAtMs] of this.ended) {
-      if (endedAtMs >= endedBeforeMs || found.length >= limit) break;
-      found.push(jobId);
-    }
-    return found;
+    return idsBefore(this.ended, endedBeforeMs, limit);
   }
 
   /** Forgets an ended job after all of its rows have been removed. */
@@ -130,3 +150,13 @@
     return counts;
   }
 }
+
+/** The first ids whose time is before `beforeMs`; the times are ascending. */
+function idsBefore(times: ReadonlyMap<string, number>, beforeMs: number, limit: number): readonly string[] {
+  const found: string[] = [];
+  for (const [jobId, atMs] of times) {
+    if (atMs >= beforeMs || found.length >= limit) break;
+    found.push(jobId);
+  }
+  return found;
+}
--- a/telemetry/events_catalogue.ts
+++ b/telemetry/events_catalogue.ts
@@ -77,6 +77,7 @@
   rowRefused: logEvent(751, 'row refused by the store'),
   stopsDelayed: logEvent(750, 'stops delayed until workers are listed'),
   workerRestarted: logEvent(748, 'worker restart reported'),
+  jobCancelledEarly: logEvent(753, 'job arrived after its cancellation'),
   jobAccepted: logEvent(730, 'job accepted'),
   jobRejected: logEvent(731, 'job rejected'),
   placementLoad: logEvent(738, 'placement load'),
