--- a/placement/sole_leadership.ts
+++ b/placement/sole_leadership.ts
@@ -5,6 +5,12 @@
 import type { FencedWriter } from './fenced_writer';
 import { elapsedMs, momentOf, type Moment } from './validity_window';
 
+/**
+ * Interval at which the other processes are asked, in milliseconds. Leases last several
+ * seconds, and each question is a call to every process.
+ */
+const ASK_INTERVAL_MS = 1_000;
+
 export interface SoleLeadershipOptions {
   readonly clock: Clock;
   readonly writer: Pick<FencedWriter, 'isValid' | 'sinceRenewalMs'>;
@@ -36,6 +42,7 @@
 export class SoleLeadership {
   private confirmedAt: Moment | null = null;
   private isAsking = false;
+  private nextAskAtMs = 0;
   private lastAnswer: boolean | null = null;
 
   constructor(private readonly options: SoleLeadershipOptions) {}
@@ -50,7 +57,11 @@
 
   /** Asks the other processes while this one cannot renew its lease. */
   refresh(): void {
-    if (!this.isAsking && !this.options.writer.isValid()) void this.ask();
+    const { clock, writer } = this.options;
+    const nowMs = clock.monotonicMs();
+    if (this.isAsking || writer.isValid() || nowMs < this.nextAskAtMs) return;
+    this.nextAskAtMs = nowMs + ASK_INTERVAL_MS;
+    void this.ask();
   }
 
   private async ask(): Promise<void> {
