Remove the cancellation of an ended job by its own retention

Cause: the cancellation of a job that had just ended allowed the removal of the job's row, although its end might not be stored yet; without the row and the end, a new leader would not know the job.

Change: a cancellation whose job is not open is kept for the retention and then removed alone; the removal of the job's row goes by its end as before.

Measured: placement/early_cancellation_test.ts and ended_job_sweep_test.ts pass. Found by reading; no test shows a lost job.

--- a/placement/early_cancellation_test.ts
+++ b/placement/early_cancellation_test.ts
@@ -80,7 +80,8 @@
     await harness.advance(10_000);
     expect(await harness.cancelIfKnown(JOB)).toBe(false);
     await harness.advance(5_000);
-    expect(await jobRowCount(leader)).toBe(0);
     expect(await harness.state(JOB)).toBe('completed');
+    await harness.advance(3 * RETENTION_MS);
+    expect(await jobRowCount(leader)).toBe(0);
   });
 });
--- a/placement/job_registry.ts
+++ b/placement/job_registry.ts
@@ -33,7 +33,7 @@
    * still stored and may be removed, oldest first.
    */
   private readonly withRemovableRows = new Set<string>();
-  /** When each cancellation was found whose job is not registered, on the monotonic clock, oldest first. */
+  /** When each cancellation was found whose job is not open, on the monotonic clock, oldest first. */
   private readonly cancelledEarly = new Map<string, number>();
   private lastArrivalNumber = 0;
 
@@ -62,12 +62,13 @@
     return this.open.get(jobId);
   }
 
-  /** Records a cancellation that is stored although its job is not open. */
+  /**
+   * Records a cancellation that is stored although its job is not open: it has not arrived, or
+   * has ended, in which case the cancellation may have been stored after the job's own rows
+   * were removed.
+   */
   recordEarlyCancellation(jobId: string): void {
-    // The rows of an ended job may have been removed before the cancellation was stored.
-    if (this.has(jobId)) this.allowRowRemoval(jobId);
-    else if (!this.cancelledEarly.has(jobId))
-      this.cancelledEarly.set(jobId, this.options.clock.monotonicMs());
+    if (!this.cancelledEarly.has(jobId)) this.cancelledEarly.set(jobId, this.options.clock.monotonicMs());
   }
 
   /** Whether a job was cancelled before it arrived. */
@@ -75,7 +76,7 @@
     return this.cancelledEarly.has(jobId);
   }
 
-  /** Ids of jobs that were cancelled before a time on the monotonic clock and have not arrived, oldest first. */
+  /** Ids of jobs whose cancellation was recorded before a time on the monotonic clock, oldest first. */
   cancelledEarlyBefore(cancelledBeforeMs: number, limit: number): readonly string[] {
     return idsBefore(this.cancelledEarly, cancelledBeforeMs, limit);
   }
