Let the client load test choose other ports if one was taken

The log of its process has "listen EADDRINUSE": the port had been taken between the check that it was free and the start, and the test waited for a process that had ended.

Change: a process that ends before it is ready fails the test at once, with its log; only if the log names EADDRINUSE other ports are chosen. What the test asserts is unchanged.

--- a/soak/client_load_test.ts
+++ b/soak/client_load_test.ts
@@ -90,6 +90,14 @@
       keyByClientAccount: { account: KEY },
     };
     this.store.rows.apply({ conditions: [], writes: [encodeRules(rules)] });
+    while (!(await this.startProcess(storeAddress)));
+  }
+
+  /**
+   * Starts the process and waits until it is ready. Returns whether it has its ports: another
+   * program may have taken one since it was found to be free.
+   */
+  private async startProcess(storeAddress: string): Promise<boolean> {
     this.ports = await freePorts(3);
     const [callerPort = 0, readinessPort = 0, internalPort = 0] = this.ports;
     const settings = {
@@ -106,7 +114,15 @@
     };
     this.process = new SchedulerProcess(settings, { nodeFlags: HEAP_FLAGS });
     this.process.start();
-    while ((await call(readinessPort, 'GET', '/')) !== 200) await delay(100);
+    while ((await call(readinessPort, 'GET', '/')) !== 200) {
+      if (this.process.hasEnded()) {
+        const log = readFileSync(this.process.logFile, 'utf8');
+        if (log.includes('EADDRINUSE')) return false;
+        throw new Error(`The process has ended before it was ready: ${log}`);
+      }
+      await delay(100);
+    }
+    return true;
   }
 
   port(address: Address): number {
