Review: drop the case of a job that is given up, and show missing tasks of a serving step (AVAIL)

Stops of tasks on draining workers are not counted against the limit of their step. Change: the former case 13 is 12 now; case 13 is a script with a wave and a worker that drains.

--- a/review/lib-3/case_deployment.ts
+++ b/review/lib-3/case_deployment.ts
@@ -14,7 +14,8 @@
   type StandinRules,
 } from '../../platform/standins/deployment_encoding';
 import { InstanceStandin } from '../../platform/standins/instance_standin';
-import { StandinWorker, type StandinObserver } from '../../platform/standins/standin_worker';
+import { SlowStopWorker } from './slow_stop_worker';
+import type { StandinObserver, StandinWorker } from '../../platform/standins/standin_worker';
 import { StoreStandin } from '../../platform/standins/store_standin';
 import { encodeWorkerEntry } from '../../platform/standins/worker_entry_encoding';
 import { WorkerStandinServer } from '../../platform/standins/worker_standin_server';
@@ -49,6 +50,8 @@
   readonly clock?: Clock;
   readonly bornAtMs?: number;
   readonly labels?: readonly string[];
+  /** Time that a stop takes, in milliseconds; at most `stop-grace-ms`. */
+  readonly stopMs?: number;
 }
 
 export interface CaseOptions {
@@ -182,6 +185,7 @@
     clock = this.clock,
     bornAtMs = Date.now(),
     labels,
+    stopMs = 0,
   }: WorkerPlan): Promise<WorkerEntry> {
     const observer: StandinObserver = {
       onStarted: (worker, order) => {
@@ -193,7 +197,7 @@
         this.options.observer?.onEnded(worker, end);
       },
     };
-    const worker = new StandinWorker({
+    const worker = new SlowStopWorker(stopMs, {
       clock,
       workerId,
       bornAtMs,
@@ -232,6 +236,27 @@
     this.record(`${workerId} has written its entry: labels ${labels.join(', ')}, born ${startedAtMs}`);
   }
 
+  /** Writes the entry of a worker that is going to leave, `remainingMs` later at the earliest. */
+  writeDraining(workerId: string, remainingMs: number): void {
+    const entry = this.entries.get(workerId);
+    if (entry === undefined) throw new Error('There is no such worker.');
+    const row = encodeWorkerEntry({ ...entry, state: 'draining' });
+    const fields = { ...(JSON.parse(row.value ?? '{}') as object), 'remaining-ms': remainingMs };
+    this.store.rows.apply({ conditions: [], writes: [{ ...row, value: JSON.stringify(fields) }] });
+    this.record(`${workerId} has reported that it is draining, with ${remainingMs} ms left`);
+  }
+
+  /** Asks for the upkeep of the machine of a worker, as the operator does. */
+  writeWave(wave: number, workerId: string, limitS: number): void {
+    const machines = [this.entries.get(workerId)?.instanceId ?? ''];
+    const value = JSON.stringify({ wave, machines, 'term-s': limitS, cap: 1 });
+    this.store.rows.apply({
+      conditions: [],
+      writes: [{ table: 'op', partition: '', key: `wave/${wave}`, value }],
+    });
+    this.record(`operator: wave ${wave} of ${machines.join(', ')} within ${limitS} s is acknowledged`);
+  }
+
   /** Ends a worker as a crash does: without a word. Its address refuses connections, and its machine is down. */
   crashWorker(workerId: string): void {
     this.workers.get(workerId)?.crash();
